--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -34,11 +34,13 @@
 
 // Machine is one rented machine, up or not.
 type Machine struct {
-	Name  string
-	Pool  Pool
-	AgeS  float64
-	Tasks []Held
-	Open  bool // may take tasks, now or once it is up
+	Name string
+	Pool Pool
+	AgeS float64
+	// ReadyS is the expected time until it takes tasks; 0 once it is up.
+	ReadyS float64
+	Tasks  []Held
+	Open   bool // may take tasks, now or once it is up
 }
 
 // Input is what a pass looks at.
@@ -67,14 +69,50 @@
 	Unmet  int // tasks for which no pool is to be had
 }
 
-// slot is a machine's room past the boot lag, in shares of the machine.
+// slot is a machine there is, and when the tasks on it, or meant for it, end.
 type slot struct {
 	m     *Machine
 	typ   *wire.MachineType
-	free  float64
+	ready float64 // seconds from now until it takes tasks
+	ends  []end   // in order of time
 	taken bool
 }
 
+type end struct{ at, share float64 }
+
+// free is the earliest time at which a share of the machine is free.
+func (s *slot) free(share float64) float64 {
+	room := 1.0
+	for _, e := range s.ends {
+		room -= e.share
+	}
+	at := s.ready
+	for _, e := range s.ends {
+		if room >= share-1e-6 {
+			break
+		}
+		room += e.share
+		at = math.Max(at, e.at)
+	}
+	if room < share-1e-6 {
+		return math.Inf(1)
+	}
+	return at
+}
+
+func (s *slot) add(at, share float64) {
+	i, _ := slices.BinarySearchFunc(s.ends, at, func(e end, at float64) int {
+		switch {
+		case e.at < at:
+			return -1
+		case e.at > at:
+			return 1
+		}
+		return 0
+	})
+	s.ends = slices.Insert(s.ends, i, end{at, share})
+}
+
 // Load is a task's load on a machine type: running time over window, times
 // the largest share, capped at that share; the full share for an empty or
 // past window and for services.
@@ -136,8 +174,7 @@
 	load  map[Pool]float64
 }
 
-// slots finds the room of the machines there are. Running tasks that will
-// have ended past the boot lag leave their room to the peak.
+// slots finds the machines there are, and when their tasks end.
 func (p *pass) slots() {
 	for i := range p.Machines {
 		m := &p.Machines[i]
@@ -145,11 +182,9 @@
 		if t == nil || !m.Open {
 			continue
 		}
-		s := &slot{m: m, typ: t, free: 1, taken: len(m.Tasks) > 0}
+		s := &slot{m: m, typ: t, ready: m.ReadyS, taken: len(m.Tasks) > 0}
 		for _, h := range m.Tasks {
-			if h.LeftS > p.LagS {
-				s.free -= place.Of(h.Job).Share(place.Capacity(t))
-			}
+			s.add(h.LeftS, place.Of(h.Job).Share(place.Capacity(t)))
 		}
 		p.room = append(p.room, s)
 	}
@@ -161,11 +196,8 @@
 			}
 			return 1
 		}
-		switch {
-		case a.free < b.free:
-			return -1
-		case a.free > b.free:
-			return 1
+		if d := len(b.ends) - len(a.ends); d != 0 {
+			return d
 		}
 		return strings.Compare(a.m.Name, b.m.Name)
 	})
@@ -229,9 +261,14 @@
 	}
 	window := d.DeadlineS - p.LagS
 	whole := d.Job.Service() || math.IsInf(d.DeadlineS, 1)
+	run := d.RunS
+	if whole {
+		run = math.Inf(1)
+	}
 	unmet := 0
-	for range d.Count {
-		if p.onExisting(d.Job, need, zones, d.RunS, window, whole) {
+	for n := range d.Count {
+		// Beyond maxTried tasks the machines there are count as full.
+		if n < maxTried && p.onExisting(d, need, zones, run) {
 			continue
 		}
 		pool, share, ok := p.cheapest(d.Job, need, zones)
@@ -245,24 +282,38 @@
 	return unmet
 }
 
-func (p *pass) onExisting(j *wire.Job, need place.Res, zones place.Zones, runS, window float64, whole bool) bool {
-	for pref := range 2 { // the kind the job would be rented for first
-		for _, s := range p.room {
-			pool := s.m.Pool
-			if (pref == 0) != (pool.Spot == j.Spot) || !place.Allowed(j, pool.Type, pool.Zone, pool.Spot) || !zones.Allows(j, pool.Zone) {
-				continue
-			}
-			l := Load(need.Share(place.Capacity(s.typ)), runS, window, whole)
-			if l > s.free+1e-6 {
-				continue
-			}
-			s.free -= l
-			s.taken = true
-			zones[pool.Zone]++
-			return true
+// maxTried bounds the work of a pass on one job.
+const maxTried = 200
+
+// onExisting puts a task on the machine that has room for it first, if it
+// starts there before a new machine could be up or still ends in time: then
+// it puts no load on new machines past the boot lag.
+func (p *pass) onExisting(d Demand, need place.Res, zones place.Zones, run float64) bool {
+	var best *slot
+	bestAt, bestShare := math.Max(p.LagS, d.DeadlineS-run), 0.0
+	if d.Job.Service() || math.IsInf(d.DeadlineS, 1) {
+		bestAt = p.LagS
+	}
+	bestKind := false
+	for _, s := range p.room {
+		pool := s.m.Pool
+		if !place.Allowed(d.Job, pool.Type, pool.Zone, pool.Spot) || !zones.Allows(d.Job, pool.Zone) {
+			continue
+		}
+		share := need.Share(place.Capacity(s.typ))
+		at := s.free(share)
+		kind := pool.Spot == d.Job.Spot
+		if at < bestAt || at == bestAt && best != nil && kind && !bestKind {
+			best, bestAt, bestShare, bestKind = s, at, share, kind
 		}
 	}
-	return false
+	if best == nil {
+		return false
+	}
+	best.add(bestAt+run, bestShare)
+	best.taken = true
+	zones[best.m.Pool.Zone]++
+	return true
 }
 
 // cheapest is the pool in which a task's share of a machine costs least. A
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -61,6 +61,7 @@
 	closing  map[string]bool
 	probing  map[string]bool
 	deleted  map[string]time.Time
+	again    bool // a pool ran short: plan again without it
 	listing  bool
 	hosts    map[string]wire.Host
 	listedAt time.Time
@@ -164,6 +165,14 @@
 	for name, intent := range r.view.Rents {
 		r.hire(name, intent) // a lost call, of ours or of an earlier leader
 	}
+	r.decide()
+}
+
+// decide plans and acts on the plan.
+func (r *Renter) decide() {
+	if !r.leads() || len(r.types) == 0 {
+		return
+	}
 	in := r.input()
 	p := plan.Make(in)
 	slog.Debug("pass", "machines", len(in.Machines), "demands", len(in.Demands), "rent", p.Rent, "return", len(p.Return), "unmet", p.Unmet)
@@ -206,6 +215,9 @@
 			Name: name, Pool: plan.Pool{Type: b.Type, Zone: b.Zone, Spot: b.Spot},
 			AgeS: (float64(now.UnixMilli()) - float64(b.At)) / 1000, Open: b.Drain == "" && !b.Closed,
 		}
+		if b.Session == 0 {
+			m.ReadyS = math.Max(0, r.bootS(b.Type)-m.AgeS)
+		}
 		for i := range b.Tasks {
 			t := &b.Tasks[i]
 			j := r.view.Jobs[t.Job]
@@ -224,6 +236,7 @@
 		for i := range intent.Count {
 			in.Machines = append(in.Machines, plan.Machine{
 				Name: fmt.Sprintf("rented-%d", i), Pool: plan.Pool{Type: intent.Type, Zone: intent.Zone, Spot: intent.Spot}, Open: true,
+				ReadyS: r.bootS(intent.Type),
 			})
 		}
 	}
@@ -297,6 +310,7 @@
 	}
 	if none || len(nests) < intent.Count {
 		r.refused[pool] = time.Now().Add(config.Secs(r.cfg.Ops.PassS * refusalPasses))
+		r.again = true
 		slog.Info("cloud gave less", "hire", name, "type", intent.Type, "zone", intent.Zone, "spot", intent.Spot, "asked", intent.Count, "got", len(nests))
 	}
 	r.record(name, intent, nests)
@@ -328,10 +342,21 @@
 				return
 			}
 			delete(r.hiring, name)
+			r.replan()
 		})
 	})
 }
 
+// replan runs the pass again once the calls of the last one are answered, if
+// a pool ran short: waiting for the next pass at every refusal would leave
+// work without a machine for as many passes as there are pools.
+func (r *Renter) replan() {
+	if r.again && len(r.hiring) == 0 {
+		r.again = false
+		r.decide()
+	}
+}
+
 func (r *Renter) newBind(m, typ, zone string, spot bool, at int64, c *ledger.Commit) ledger.Put {
 	key := ledger.Key(ledger.KindBind, m)
 	c.Guards = append(c.Guards, wire.Guard{Key: key})
