Prod runs where its image is; scarce zones are left to jobs that must spread

Ruled out: the limit of any team, renting (the cloud had no second one). Scores now prefer zones that offer more, single replicas wait for machines booting elsewhere, and one is moved when nothing else helps.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -120,10 +120,14 @@
 	return out
 }
 
+// Offers tells how many machine types can be rented in a zone, as a share of
+// the zone that offers most.
+type Offers map[string]float64
+
 // Pick returns the node with room that suits a task of the job best, or nil.
 // Urgent work goes where its image is; the rest packs machines that are in
 // use already, and spot machines before ordinary ones.
-func Pick(j *wire.Job, zones Zones, nodes []*Node) *Node {
+func Pick(j *wire.Job, zones Zones, offers Offers, nodes []*Node) *Node {
 	var best *Node
 	bestScore := math.Inf(1)
 	need := Of(j)
@@ -132,7 +136,7 @@
 		if !Allowed(j, n.Type.Name, n.Zone, n.Spot) || !zones.Allows(j, n.Zone) || !n.Used.Plus(need, 1).Fits(limit) {
 			continue
 		}
-		if s := score(j, zones, n, limit); s < bestScore {
+		if s := score(j, zones, offers, n, limit); s < bestScore {
 			best, bestScore = n, s
 		}
 	}
@@ -141,7 +145,7 @@
 
 // score orders the nodes that have room; the lowest is best. Its parts are
 // shares of one machine.
-func score(j *wire.Job, zones Zones, n *Node, limit Res) float64 {
+func score(j *wire.Job, zones Zones, offers Offers, n *Node, limit Res) float64 {
 	s := 1 - n.Used.Share(limit)
 	if !n.Image(j.Image) {
 		if j.Rank >= wire.RankHigh {
@@ -153,6 +157,10 @@
 	if j.Spot && !n.Spot {
 		s += 2 // keep ordinary machines for those that need them
 	}
+	if !n.Spot && !(j.Spread && j.Tasks > 1) {
+		// Room in a zone with few types to rent is for those that must go there.
+		s += 6 * (1 - offers[n.Zone])
+	}
 	if j.Spread {
 		s += 8 * float64(zones[n.Zone]) / float64(j.Tasks)
 	}
@@ -169,16 +177,21 @@
 // Preempt finds the cheapest set of tasks to stop for a task of job j. Work
 // of lower rank may go; with the team inside its guarantee so may work of any
 // rank that another team runs beyond its own. Nothing else may.
-func Preempt(j *wire.Job, zones Zones, nodes []*Node, tally Tally, team func(string) config.Team) *Victims {
+func Preempt(j *wire.Job, zones Zones, offers Offers, nodes []*Node, tally Tally, team func(string) config.Team) *Victims {
 	var best *Victims
+	bestScore := 0.0
 	need := Of(j)
 	guaranteed := tally.WithinGuarantee(team(j.Team), need)
 	for _, n := range nodes {
 		if !Allowed(j, n.Type.Name, n.Zone, n.Spot) || !zones.Allows(j, n.Zone) {
 			continue
 		}
-		if v := victims(j, n, need, guaranteed, tally, team); v != nil && (best == nil || v.Cost < best.Cost) {
-			best = v
+		v := victims(j, n, need, guaranteed, tally, team)
+		if v == nil {
+			continue
+		}
+		if s := score(j, zones, offers, n, Capacity(n.Type)); best == nil || s-bestScore < -1 || s-bestScore < 1 && v.Cost < best.Cost {
+			best, bestScore = v, s
 		}
 	}
 	return best
@@ -246,3 +259,31 @@
 	}
 	return v
 }
+
+// Move finds a replica that could as well run in another zone, where there is
+// room for it, and whose going makes room for a task that must spread into
+// its zone. The replica is stopped to be placed again.
+func Move(j *wire.Job, zones Zones, nodes []*Node) *Victims {
+	if !j.Spread || !j.Service() {
+		return nil
+	}
+	need := Of(j)
+	for _, n := range nodes {
+		if !Allowed(j, n.Type.Name, n.Zone, n.Spot) || !zones.Allows(j, n.Zone) {
+			continue
+		}
+		elsewhere := slices.DeleteFunc(slices.Clone(nodes), func(o *Node) bool { return o.Zone == n.Zone })
+		for i, t := range n.Tasks {
+			if t.Job == nil || t.Stops || !t.Job.Service() || t.Job.Spread && t.Job.Tasks > 1 || t.Job.CheckpointS > 0 {
+				continue
+			}
+			if !n.Used.Plus(Of(t.Job), -1).Plus(need, 1).Fits(Capacity(n.Type)) {
+				continue
+			}
+			if to := Pick(t.Job, Zones{}, Offers{}, elsewhere); to != nil && to.Image(t.Job.Image) {
+				return &Victims{Node: n, Tasks: []int{i}}
+			}
+		}
+	}
+	return nil
+}
--- a/internal/place/choose_test.go
+++ b/internal/place/choose_test.go
@@ -55,7 +55,7 @@
 			return (j.Spot || !n.Spot) && (!j.OneZone || inOther == 0) && (!j.Spread || 2*zones[n.Zone] < j.Tasks) &&
 				n.Used.Plus(Of(j), 1).Fits(Capacity(n.Type))
 		}
-		got := Pick(j, zones, nodes)
+		got := Pick(j, zones, Offers{}, nodes)
 		if got != nil && !ok(got) {
 			t.Fatalf("picked %+v for %+v", got, j)
 		}
@@ -79,7 +79,7 @@
 				tally[task.Job.Team] = tally[task.Job.Team].Plus(Of(task.Job), 1)
 			}
 		}
-		v := Preempt(j, Zones{}, nodes, tally, team)
+		v := Preempt(j, Zones{}, Offers{}, nodes, tally, team)
 		if v == nil {
 			return
 		}
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -36,6 +36,7 @@
 	epoch  uint64
 	fresh  time.Time
 	types  map[string]*wire.MachineType
+	offers Offers
 	active map[string]*ledger.Job
 	low    map[string]int       // lowest task of a job that may not be done
 	since  map[string]time.Time // when a bound task was first seen
@@ -77,8 +78,17 @@
 // SetTypes tells the placer of the machine types.
 func (p *Placer) SetTypes(types []wire.MachineType) {
 	p.Send(func() {
+		p.offers = Offers{}
+		most := 0.0
 		for i := range types {
 			p.types[types[i].Name] = &types[i]
+			for _, z := range types[i].Zones {
+				p.offers[z]++
+				most = max(most, p.offers[z])
+			}
+		}
+		for z := range p.offers {
+			p.offers[z] /= most
 		}
 		p.schedule()
 	})
@@ -252,10 +262,37 @@
 	return q
 }
 
+func withImage(nodes []*Node, image string) []*Node {
+	return slices.DeleteFunc(slices.Clone(nodes), func(n *Node) bool { return !n.Image(image) })
+}
+
+// cluster is what one round of choices looks at.
+type cluster struct {
+	nodes  []*Node
+	tally  Tally
+	offers Offers
+	boots  []*Node // machines that are coming up
+}
+
+// worthWaiting tells whether a job that could go elsewhere had better wait
+// for a machine that is coming up than take room in a zone where little can
+// be rented: that room is for jobs that must spread into it.
+func (c *cluster) worthWaiting(j *wire.Job, n *Node) bool {
+	if n.Spot || j.Spread && j.Tasks > 1 || j.Zone != "" {
+		return false
+	}
+	for _, b := range c.boots {
+		if !b.Spot && c.offers[b.Zone] > c.offers[n.Zone] && Allowed(j, b.Type.Name, b.Zone, b.Spot) && Of(j).Fits(Capacity(b.Type)) {
+			return true
+		}
+	}
+	return false
+}
+
 // cluster puts together the machines with room and what teams use.
-func (p *Placer) cluster(now time.Time) ([]*Node, Tally) {
+func (p *Placer) cluster(now time.Time) *cluster {
 	tally := Tally{}
-	var nodes []*Node
+	var nodes, boots []*Node
 	for name, b := range p.view.Binds {
 		typ := p.types[b.Type]
 		n := &Node{Name: name, Type: typ, Zone: b.Zone, Spot: b.Spot}
@@ -276,6 +313,9 @@
 			task.Spent = now.Sub(p.since[task.Name]).Seconds()
 			n.Tasks = append(n.Tasks, task)
 		}
+		if typ != nil && b.Session == 0 && b.Drain == "" && now.Sub(time.UnixMilli(b.At)) < config.Secs(1.5*typ.BootS) {
+			boots = append(boots, n)
+		}
 		if typ == nil || !b.Open() || now.Before(p.shaky[name]) {
 			continue
 		}
@@ -286,7 +326,7 @@
 		nodes = append(nodes, n)
 	}
 	slices.SortFunc(nodes, func(a, b *Node) int { return strings.Compare(a.Name, b.Name) })
-	return nodes, tally
+	return &cluster{nodes, tally, p.offers, boots}
 }
 
 // batch is one commit in the making.
@@ -312,13 +352,13 @@
 	if len(q) == 0 {
 		return
 	}
-	nodes, tally := p.cluster(now)
+	c := p.cluster(now)
 	b := &batch{
 		binds: map[string]*ledger.Bind{}, jobs: map[string]uint64{}, hands: map[string]uint64{},
 		starts: map[string][]wire.Order{}, stops: map[string][]wire.Order{},
 	}
 	for _, w := range q {
-		if !p.placeJob(w, nodes, tally, b) {
+		if !p.placeJob(w, c, b) {
 			break
 		}
 	}
@@ -334,14 +374,14 @@
 }
 
 // placeJob places what it can of a job; false when the batch is full.
-func (p *Placer) placeJob(w waiting, nodes []*Node, tally Tally, b *batch) bool {
-	spec, team := w.job.Spec, p.team(w.job.Spec.Team)
+func (p *Placer) placeJob(w waiting, c *cluster, b *batch) bool {
+	spec, team, tally := w.job.Spec, p.team(w.job.Spec.Team), c.tally
 	need := Of(spec)
 	zones := Zones{}
 	for _, m := range p.view.Bound[w.id] {
 		zones[p.view.Binds[m].Zone]++
 	}
-	sample := Sample(nodes, p.rng)
+	sample := Sample(c.nodes, p.rng)
 	if f := p.failed[w.id]; f != nil {
 		// Failed work is tried elsewhere, while there is an elsewhere.
 		if rest := slices.DeleteFunc(slices.Clone(sample), func(n *Node) bool { return f.machines[n.Name] }); len(rest) > 0 {
@@ -361,15 +401,26 @@
 		if !tally.WithinLimit(team, need) {
 			return true
 		}
-		node := Pick(spec, zones, sample)
-		if node == nil {
-			if spec.Rank < wire.RankHigh && !tally.WithinGuarantee(team, need) {
-				return true
-			}
-			v := Preempt(spec, zones, sample, tally, p.team)
-			if v == nil {
-				return true
-			}
+		node := Pick(spec, zones, c.offers, sample)
+		preempts := spec.Rank >= wire.RankHigh || tally.WithinGuarantee(team, need)
+		var v *Victims
+		// A fetch takes longer than urgent work may wait: where its image is,
+		// other work makes room for it.
+		if preempts && node == nil {
+			v = Preempt(spec, zones, c.offers, sample, tally, p.team)
+		} else if preempts && spec.Rank >= wire.RankHigh && !node.Image(spec.Image) {
+			v = Preempt(spec, zones, c.offers, withImage(sample, spec.Image), tally, p.team)
+		}
+		if node == nil && v == nil {
+			v = Move(spec, zones, sample)
+		}
+		if node == nil && v == nil {
+			return true
+		}
+		if v == nil && c.worthWaiting(spec, node) {
+			return true
+		}
+		if v != nil {
 			if !p.open(b, v.Node.Name) {
 				return false
 			}
