--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -212,19 +213,29 @@
 	return Team{}, false
 }
 
-// DefaultDeadline is the time a job of a class without a deadline is given:
-// the earliest aim stated for its class, or the operators' default.
-func (c *Config) DefaultDeadline(class string) float64 {
-	d := math.Inf(1)
+// Deadlines lists the times from its submission by which a job of a class is
+// to be done, the earliest first: its own deadline and the multiples of it
+// that aims speak of, or the finishing aims of its class, or the operators'
+// default.
+func (c *Config) Deadlines(class string, own *float64) []float64 {
+	var out []float64
 	for _, o := range c.Params.Objectives {
-		if o.Kind == "finished" && o.Class == class && o.WithinS > 0 {
-			d = math.Min(d, o.WithinS)
+		switch {
+		case o.Class != class:
+		case own == nil && o.Kind == "finished" && o.WithinS > 0:
+			out = append(out, o.WithinS)
+		case own != nil && o.Kind == "deadline" && o.Times > 1:
+			out = append(out, *own*o.Times)
 		}
 	}
-	if math.IsInf(d, 1) {
-		return c.Ops.DefaultDeadlineS
+	switch {
+	case own != nil:
+		out = append(out, *own)
+	case len(out) == 0:
+		out = append(out, c.Ops.DefaultDeadlineS)
 	}
-	return d
+	slices.Sort(out)
+	return slices.Compact(out)
 }
 
 // Secs turns seconds into a Duration.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -33,6 +34,10 @@
 kind = "finished"
 class = "c"
 within_s = 100.0
+[[params.objectives]]
+kind = "deadline"
+class = "d"
+times = 1.75
 [params.workers]
 report_s = 3.0
 lease_s = 34.0
@@ -80,16 +85,23 @@
 	}
 }
 
-func TestDefaultDeadline(t *testing.T) {
+func TestDeadlines(t *testing.T) {
 	c, err := Parse(sound)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if d := c.DefaultDeadline("c"); d != 100 {
-		t.Errorf("class with aims: %v", d)
-	}
-	if d := c.DefaultDeadline("other"); d != c.Ops.DefaultDeadlineS {
-		t.Errorf("class without: %v", d)
+	own := 40.0
+	for _, x := range []struct {
+		class string
+		own   *float64
+		want  []float64
+	}{
+		{"c", nil, []float64{100, 150}}, {"c", &own, []float64{40}}, {"d", &own, []float64{40, 70}},
+		{"other", nil, []float64{c.Ops.DefaultDeadlineS}},
+	} {
+		if got := c.Deadlines(x.class, x.own); !slices.Equal(got, x.want) {
+			t.Errorf("%s: %v, want %v", x.class, got, x.want)
+		}
 	}
 }
 
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -224,11 +224,13 @@
 	id       string
 	job      *ledger.Job
 	hand     uint64 // stamp of the team's hand record
+	late     int    // how many of its deadlines can't be met any more
 	deadline float64
 }
 
 // queue orders the jobs that have tasks to place: by rank, then earliest
-// deadline first.
+// deadline first. A job that can't meet a deadline any more gives way to those
+// that can: under overload plain EDF makes every job late.
 func (p *Placer) queue(mine map[string]*ledger.Hand, now time.Time) []waiting {
 	var q []waiting
 	for id, j := range p.active {
@@ -241,16 +243,24 @@
 		if f := p.failed[id]; f != nil && now.Before(f.until) {
 			continue
 		}
-		d := p.cfg.DefaultDeadline(j.Spec.Class)
-		if j.Spec.DeadlineS != nil {
-			d = *j.Spec.DeadlineS
+		w := waiting{id: id, job: j, hand: mine[j.Spec.Team].Stamp}
+		age := float64(now.UnixMilli()-j.At) / 1000
+		for _, d := range p.cfg.Deadlines(j.Spec.Class, j.Spec.DeadlineS) {
+			w.deadline = float64(j.At)/1000 + d
+			if age+j.Spec.EstimateS <= d {
+				break
+			}
+			w.late++
 		}
-		q = append(q, waiting{id, j, mine[j.Spec.Team].Stamp, float64(j.At)/1000 + d})
+		q = append(q, w)
 	}
 	slices.SortFunc(q, func(a, b waiting) int {
 		if a.job.Spec.Rank != b.job.Spec.Rank {
 			return int(b.job.Spec.Rank - a.job.Spec.Rank)
 		}
+		if a.late != b.late {
+			return a.late - b.late
+		}
 		if a.deadline != b.deadline {
 			if a.deadline < b.deadline {
 				return -1
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -197,9 +197,12 @@
 		if n <= 0 {
 			continue
 		}
-		d := r.cfg.DefaultDeadline(j.Spec.Class)
-		if j.Spec.DeadlineS != nil {
-			d = *j.Spec.DeadlineS
+		// The first deadline that a machine rented now can still keep.
+		age, due := float64(now.UnixMilli()-j.At)/1000, 0.0
+		for _, d := range r.cfg.Deadlines(j.Spec.Class, j.Spec.DeadlineS) {
+			if due = d - age; ops.BootLagS+j.Spec.EstimateS <= due {
+				break
+			}
 		}
 		zones := place.Zones{}
 		for _, m := range r.view.Bound[id] {
@@ -207,7 +210,7 @@
 		}
 		in.Demands = append(in.Demands, plan.Demand{
 			Job: j.Spec, Count: r.limited(j, n), RunS: j.Spec.EstimateS, Zones: zones,
-			DeadlineS: d - (float64(now.UnixMilli())-float64(j.At))/1000,
+			DeadlineS: due,
 		})
 	}
 	for name, b := range r.view.Binds {
