--- a/internal/frontdoor/frontdoor.go
+++ b/internal/frontdoor/frontdoor.go
@@ -311,7 +311,7 @@
 	})
 	switch {
 	case ok && out == ledger.Committed:
-		slog.Debug("job accepted", "job", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks)
+		slog.Debug("job accepted", "job", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks, "image", j.Image, "gb", j.ImageGB)
 		answer(w, http.StatusCreated, wire.JobStatus{ID: j.ID, State: wire.JobQueued})
 	case ok && out == ledger.Conflicted:
 		f.known(ctx, w, j.ID)
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -533,6 +533,7 @@
 	for m, rec := range b.binds {
 		orders := append(b.stops[m], b.starts[m]...)
 		cmd := wire.Commands{Token: rec.Token, Session: rec.Session, Orders: orders}
+		slog.Debug("placing", "machine", m, "starts", len(b.starts[m]), "stops", len(b.stops[m]), "first", b.starts[m])
 		go func() {
 			rep, err := p.worker.Do(p.ctx, rec.Addr, cmd)
 			if err != nil {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -316,11 +316,19 @@
 	return true
 }
 
-// cheapest is the pool in which a task's share of a machine costs least. A
-// pool with room left in its last counted machine costs only what it adds.
+// nearlyEqual is how much more a larger machine may cost per task of a
+// service: on fewer, larger machines images are fetched less often.
+const nearlyEqual = 1.1
+
+// cheapest is the pool in which a task's share of a machine costs least; for
+// services, the largest machine of those that cost nearly as little.
 func (p *pass) cheapest(j *wire.Job, need place.Res, zones place.Zones) (Pool, float64, bool) {
-	var best Pool
-	bestShare, bestCost := 0.0, math.Inf(1)
+	type offer struct {
+		pool        Pool
+		share, cost float64
+	}
+	var offers []offer
+	least := math.Inf(1)
 	for _, pool := range p.order {
 		t := p.types[pool.Type]
 		if !place.Allowed(j, pool.Type, pool.Zone, pool.Spot) || !zones.Allows(j, pool.Zone) || p.Refused(pool) {
@@ -334,11 +342,23 @@
 		if pool.Spot {
 			price = t.SpotPrice
 		}
-		if cost := price * share; cost < bestCost {
-			best, bestShare, bestCost = pool, share, cost
+		least = math.Min(least, price*share)
+		offers = append(offers, offer{pool, share, price * share})
+	}
+	if len(offers) == 0 {
+		return Pool{}, 0, false
+	}
+	limit := least
+	if j.Service() {
+		limit *= nearlyEqual
+	}
+	var best offer
+	for _, o := range offers {
+		if o.cost <= limit && (best.pool.Type == "" || o.share < best.share) {
+			best = o
 		}
 	}
-	return best, bestShare, !math.IsInf(bestCost, 1)
+	return best.pool, best.share, true
 }
 
 // returns names idle machines that no load was put on and that are near a
