Work waits rather than rent at a premium, until it is long overdue

Cause: batch work whose spot pools were used up rented ordinary machines at 2.5 to 4 times the price, for little earlier ends.

--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -23,6 +23,7 @@
 	Count     int
 	DeadlineS float64 // from now; may be past
 	RunS      float64 // expected running time of a task
+	Overdue   bool    // any machine will do, whatever it costs
 	Zones     place.Zones
 }
 
@@ -53,6 +54,7 @@
 	PassS    float64
 	BillingS float64
 	Headroom float64 // share of urgent work's room to keep free
+	Premium  float64 // how many times the cheapest pool's cost is too much
 }
 
 // Rent is a number of machines to rent.
@@ -271,7 +273,7 @@
 		if n < maxTried && p.onExisting(d, need, zones, run) {
 			continue
 		}
-		pool, share, ok := p.cheapest(d.Job, need, zones)
+		pool, share, ok := p.cheapest(d, need, zones)
 		if !ok {
 			unmet++
 			continue
@@ -321,17 +323,21 @@
 const nearlyEqual = 1.1
 
 // cheapest is the pool in which a task's share of a machine costs least; for
-// services, the largest machine of those that cost nearly as little.
-func (p *pass) cheapest(j *wire.Job, need place.Res, zones place.Zones) (Pool, float64, bool) {
+// services, the largest machine of those that cost nearly as little. While the
+// cheap pools are used up, work that is not overdue waits for their machines
+// rather than pay a premium: the load says how many machines would be enough,
+// not what one may cost.
+func (p *pass) cheapest(d Demand, need place.Res, zones place.Zones) (Pool, float64, bool) {
+	j := d.Job
 	type offer struct {
 		pool        Pool
 		share, cost float64
 	}
 	var offers []offer
-	least := math.Inf(1)
+	least, floor := math.Inf(1), math.Inf(1)
 	for _, pool := range p.order {
 		t := p.types[pool.Type]
-		if !place.Allowed(j, pool.Type, pool.Zone, pool.Spot) || !zones.Allows(j, pool.Zone) || p.Refused(pool) {
+		if !place.Allowed(j, pool.Type, pool.Zone, pool.Spot) || !zones.Allows(j, pool.Zone) {
 			continue
 		}
 		share := need.Share(place.Capacity(t))
@@ -342,10 +348,14 @@
 		if pool.Spot {
 			price = t.SpotPrice
 		}
+		floor = math.Min(floor, price*share)
+		if p.Refused(pool) {
+			continue
+		}
 		least = math.Min(least, price*share)
 		offers = append(offers, offer{pool, share, price * share})
 	}
-	if len(offers) == 0 {
+	if len(offers) == 0 || least > floor*p.Premium && p.Premium > 0 && !d.Overdue {
 		return Pool{}, 0, false
 	}
 	limit := least
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -189,7 +189,7 @@
 	now := time.Now()
 	ops := r.cfg.Ops
 	in := plan.Input{
-		Types: r.types, LagS: ops.BootLagS, PassS: ops.PassS, BillingS: ops.BillingPeriodS, Headroom: ops.Headroom,
+		Types: r.types, LagS: ops.BootLagS, PassS: ops.PassS, BillingS: ops.BillingPeriodS, Headroom: ops.Headroom, Premium: ops.Premium,
 		Refused: func(p plan.Pool) bool { return now.Before(r.refused[p]) },
 	}
 	for id, j := range r.active {
@@ -199,7 +199,8 @@
 		}
 		// The first deadline that a machine rented now can still keep.
 		age, due := float64(now.UnixMilli()-j.At)/1000, 0.0
-		for _, d := range r.cfg.Deadlines(j.Spec.Class, j.Spec.DeadlineS) {
+		deadlines := r.cfg.Deadlines(j.Spec.Class, j.Spec.DeadlineS)
+		for _, d := range deadlines {
 			if due = d - age; ops.BootLagS+j.Spec.EstimateS <= due {
 				break
 			}
@@ -210,7 +211,7 @@
 		}
 		in.Demands = append(in.Demands, plan.Demand{
 			Job: j.Spec, Count: r.limited(j, n), RunS: j.Spec.EstimateS, Zones: zones,
-			DeadlineS: due,
+			DeadlineS: due, Overdue: age > overdueTimes*deadlines[len(deadlines)-1],
 		})
 	}
 	for name, b := range r.view.Binds {
@@ -246,6 +247,10 @@
 	return in
 }
 
+// overdueTimes is how many times its last deadline a job may wait for cheap
+// machines before any machine will do.
+const overdueTimes = 4
+
 // limited is how many of n waiting tasks the team's limit lets run at once.
 func (r *Renter) limited(j *ledger.Job, n int) int {
 	team, ok := r.cfg.Params.Team(j.Spec.Team)
