--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -286,11 +286,17 @@
 
 // worthWaiting tells whether a job that could go elsewhere had better wait
 // for a machine that is coming up than take room in a zone where little can
-// be rented: that room is for jobs that must spread into it.
+// be rented: that room is for jobs that must spread into it. Only a cluster
+// that begins waits: later a replica can be moved.
 func (c *cluster) worthWaiting(j *wire.Job, n *Node) bool {
 	if n.Spot || j.Spread && j.Tasks > 1 || j.Zone != "" {
 		return false
 	}
+	for _, up := range c.nodes {
+		if !up.Spot && c.offers[up.Zone] > c.offers[n.Zone] {
+			return false
+		}
+	}
 	for _, b := range c.boots {
 		if !b.Spot && c.offers[b.Zone] > c.offers[n.Zone] && Allowed(j, b.Type.Name, b.Zone, b.Spot) && Of(j).Fits(Capacity(b.Type)) {
 			return true
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -24,6 +24,7 @@
 	DeadlineS float64 // from now; may be past
 	RunS      float64 // expected running time of a task
 	Overdue   bool    // any machine will do, whatever it costs
+	Roomy     bool    // only in the zones that offer the most types
 	Zones     place.Zones
 }
 
@@ -127,7 +128,7 @@
 
 // Make runs one pass.
 func Make(in Input) Plan {
-	p := &pass{Input: in, types: map[string]*wire.MachineType{}, load: map[Pool]float64{}}
+	p := &pass{Input: in, types: map[string]*wire.MachineType{}, offer: map[string]int{}, load: map[Pool]float64{}}
 	for i := range in.Types {
 		p.types[in.Types[i].Name] = &in.Types[i]
 	}
@@ -171,6 +172,8 @@
 type pass struct {
 	Input
 	types map[string]*wire.MachineType
+	offer map[string]int // types to rent in a zone
+	most  int
 	room  []*slot
 	order []Pool // every pool
 	load  map[Pool]float64
@@ -208,13 +211,15 @@
 func (p *pass) pools() {
 	for i := range p.Types {
 		for _, z := range p.Types[i].Zones {
+			p.offer[z]++
+			p.most = max(p.most, p.offer[z])
 			p.order = append(p.order, Pool{p.Types[i].Name, z, false}, Pool{p.Types[i].Name, z, true})
 		}
 	}
 }
 
 // headroom asks for room that urgent arrivals find free: a share of what work
-// of rank high and prod holds and waits for.
+// of rank high and prod holds and waits for, in zones that are not scarce.
 func (p *pass) headroom() []Demand {
 	if p.Headroom <= 0 {
 		return nil
@@ -248,7 +253,7 @@
 		j := *sample[k]
 		j.Zone, j.OneZone, j.Spread = "", false, false
 		n := int(math.Ceil(cpus * p.Headroom / j.CPUs))
-		out = append(out, Demand{Job: &j, Count: n, DeadlineS: math.Inf(1), RunS: 1, Zones: place.Zones{}})
+		out = append(out, Demand{Job: &j, Count: n, DeadlineS: math.Inf(1), RunS: 1, Roomy: true})
 	}
 	return out
 }
@@ -299,7 +304,7 @@
 	bestKind := false
 	for _, s := range p.room {
 		pool := s.m.Pool
-		if !place.Allowed(d.Job, pool.Type, pool.Zone, pool.Spot) || !zones.Allows(d.Job, pool.Zone) {
+		if !p.allows(d, pool, zones) {
 			continue
 		}
 		share := need.Share(place.Capacity(s.typ))
@@ -318,6 +323,11 @@
 	return true
 }
 
+func (p *pass) allows(d Demand, pool Pool, zones place.Zones) bool {
+	return place.Allowed(d.Job, pool.Type, pool.Zone, pool.Spot) && zones.Allows(d.Job, pool.Zone) &&
+		(!d.Roomy || p.offer[pool.Zone] == p.most)
+}
+
 // nearlyEqual is how much more a larger machine may cost per task of a
 // service: on fewer, larger machines images are fetched less often.
 const nearlyEqual = 1.1
@@ -337,7 +347,7 @@
 	least, floor := math.Inf(1), math.Inf(1)
 	for _, pool := range p.order {
 		t := p.types[pool.Type]
-		if !place.Allowed(j, pool.Type, pool.Zone, pool.Spot) || !zones.Allows(j, pool.Zone) {
+		if !p.allows(d, pool, zones) {
 			continue
 		}
 		share := need.Share(place.Capacity(t))
