--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -58,6 +58,7 @@
 	Job   *wire.Job // nil when its job is unknown
 	Name  string
 	Stops bool    // ordered to stop
+	Last  bool    // its job has no task waiting: stopping it delays the job
 	Spent float64 // seconds since it was bound
 }
 
@@ -218,6 +219,8 @@
 		}
 		if t.Job.Service() {
 			lost += 60 // a replica's users notice
+		} else if t.Last {
+			lost += t.Job.EstimateS
 		}
 		cands = append(cands, candidate{i, (1 + lost) * t.Job.CPUs * float64(1+3*t.Job.Rank)})
 	}
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -220,6 +220,11 @@
 	return out
 }
 
+// waits is how many tasks of a job are neither done nor bound.
+func (p *Placer) waits(id string, j *ledger.Job) int {
+	return j.Tasks - p.view.DoneCount(id) - len(p.view.Bound[id])
+}
+
 type waiting struct {
 	id       string
 	job      *ledger.Job
@@ -237,7 +242,7 @@
 		if mine[j.Spec.Team] == nil {
 			continue
 		}
-		if j.Tasks-p.view.DoneCount(id)-len(p.view.Bound[id]) <= 0 {
+		if p.waits(id, j) <= 0 {
 			continue
 		}
 		if f := p.failed[id]; f != nil && now.Before(f.until) {
@@ -325,6 +330,7 @@
 					n.Used = n.Used.Plus(res, 1)
 				}
 				task.Stops = task.Stops || !j.Active()
+				task.Last = p.waits(t.Job, j) <= 0
 			}
 			task.Spent = now.Sub(p.since[task.Name]).Seconds()
 			n.Tasks = append(n.Tasks, task)
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -165,13 +165,16 @@
 			return
 		}
 	}
+	proof := r.note(rec, rep)
 	if r.overdue(rec, now) {
-		// A cancelled task is still bound here: let the lease run out.
+		// A cancelled task is still bound here: let the lease run out. What the
+		// report proves counts all the same, or the machine would be refused for
+		// ever: that its session is a new one may be the proof.
 		slog.Warn("cancelled work still on machine; its lease is not renewed", "machine", rep.Machine)
 		reply(Reply{})
+		r.flush()
 		return
 	}
-	proof := r.note(rec, rep)
 	orders := proof.Orders
 	if orders == nil {
 		orders = []wire.Order{}
