--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -198,7 +198,7 @@
 	now := time.Now()
 	ops := r.cfg.Ops
 	in := plan.Input{
-		Types: r.types, LagS: ops.BootLagS, PassS: ops.PassS, BillingS: ops.BillingPeriodS, Headroom: ops.Headroom, Premium: ops.Premium,
+		Types: r.types, LagS: ops.BootLagS, PassS: ops.PassS, BillingS: ops.BillingPeriodS, Headroom: ops.Headroom, Spare: ops.Spare, Premium: ops.Premium,
 		Refused: func(p plan.Pool) bool { return now.Before(r.refused[p]) },
 	}
 	for id, j := range r.active {
@@ -225,7 +225,10 @@
 			AgeS: (float64(now.UnixMilli()) - float64(b.At)) / 1000, Open: b.Drain == "" && !b.Closed && !b.Quiet,
 		}
 		if b.Session == 0 {
-			m.ReadyS = math.Max(0, r.bootS(b.Type)-m.AgeS)
+			boot := r.bootS(b.Type)
+			m.ReadyS = math.Max(0, boot-m.AgeS)
+			// A boot that drags on may never end: it covers no load any more.
+			m.Open = m.Open && m.AgeS <= bootUsual*boot
 		}
 		for i := range b.Tasks {
 			t := &b.Tasks[i]
@@ -257,6 +260,9 @@
 	return in
 }
 
+// bootUsual is how many times its boot time a machine usually takes at most.
+const bootUsual = 1.6
+
 // overdueTimes is how many times its last deadline a job may wait for cheap
 // machines before any machine will do.
 const overdueTimes = 4
