--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -29,14 +29,14 @@
 
 // memoryShare is the part of the memory limit at which Go collects harder;
 // the rest is for what its heap doesn't count.
-const memoryShare = 0.7
+const memoryShare = 0.5
 
 func run(cfg *config.Config) error {
 	logLevel()
 	res := cfg.Params.Resources
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(res.CPU))))
 	debug.SetMemoryLimit(int64(res.MemoryMB * memoryShare * (1 << 20)))
-	debug.SetGCPercent(200)
+	debug.SetGCPercent(800)
 
 	users, err := net.Listen("tcp4", cfg.Listen)
 	if err != nil {
--- a/internal/frontdoor/frontdoor.go
+++ b/internal/frontdoor/frontdoor.go
@@ -317,7 +317,7 @@
 	})
 	switch {
 	case ok && out == ledger.Committed:
-		slog.Debug("job accepted", "job", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks, "image", j.Image, "gb", j.ImageGB)
+		slog.Debug("job accepted", "job", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks, "image", j.Image, "gb", j.ImageGB, "expect_s", j.EstimateS)
 		answer(w, http.StatusCreated, wire.JobStatus{ID: j.ID, State: wire.JobQueued})
 	case ok && out == ledger.Conflicted:
 		f.known(ctx, w, r, j.ID, body)
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -375,6 +375,8 @@
 		}
 		if n == r.view.Jobs[job].Tasks && t.Ops() < limit {
 			t.Puts = append(t.Puts, r.ended(job))
+			at := time.UnixMilli(r.view.Jobs[job].At)
+			t.log = append(t.log, func() { slog.Debug("job done", "job", job, "age_s", int(time.Since(at).Seconds())) })
 		}
 	}
 }
