--- a/internal/frontdoor/frontdoor.go
+++ b/internal/frontdoor/frontdoor.go
@@ -31,6 +31,7 @@
 // Peer passes a request on to another controller that has state.
 type Peer interface {
 	Forward(ctx context.Context, method, path string, body []byte) (status int, answer []byte, err error)
+	Elsewhere() string // the name of such a controller, or ""
 }
 
 // Forwarded marks requests that another controller passed on; they are not
@@ -387,7 +388,9 @@
 	f.relay(ctx, w, r, nil)
 }
 
-// ready answers 200 while the view is fresh enough to serve users.
+// ready answers 200 while the view is fresh enough to serve users. In an
+// outage that every controller sees, nobody serves better: users are then told
+// at once when to come back, and are served the moment it ends.
 func (f *Front) ready(w http.ResponseWriter, _ *http.Request) {
 	age, ok := actor.Ask(f.Actor, func(reply func(float64)) {
 		if len(f.types) == 0 || f.fresh.IsZero() {
@@ -396,7 +399,8 @@
 		}
 		reply(time.Since(f.fresh).Seconds())
 	})
-	if !ok || age > f.cfg.Params.Workers.ReportS {
+	alone := f.peer == nil || f.peer.Elsewhere() == ""
+	if !ok || math.IsInf(age, 1) || age > f.stale.Seconds() && !alone {
 		later(w, "not ready")
 		return
 	}
