--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -38,6 +38,7 @@
 	types  map[string]*wire.MachineType
 	offers Offers
 	active map[string]*ledger.Job
+	runs   *Estimates
 	low    map[string]int       // lowest task of a job that may not be done
 	since  map[string]time.Time // when a bound task was first seen
 	images map[string][]image   // machine: images fetched there, newest first
@@ -70,7 +71,7 @@
 		Actor: actor.Start(ctx, "placer", 512), ctx: ctx, cfg: cfg, boot: boot, ledger: l, worker: w,
 		report: report, rng: rand.New(rand.NewPCG(boot, 1)),
 		view:  ledger.NewView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
-		types: map[string]*wire.MachineType{}, active: map[string]*ledger.Job{}, low: map[string]int{},
+		types: map[string]*wire.MachineType{}, active: map[string]*ledger.Job{}, runs: NewEstimates(), low: map[string]int{},
 		since: map[string]time.Time{}, images: map[string][]image{}, failed: map[string]*failure{},
 		shaky: map[string]time.Time{},
 	}
@@ -104,6 +105,9 @@
 	for _, c := range d.Changes {
 		if c.Kind == ledger.KindBind {
 			p.bindChanged(c, now)
+			if b, _ := c.Rec.(*ledger.Bind); b != nil {
+				p.runs.Learn(b, p.view.Jobs)
+			}
 		}
 		p.view.Apply(c)
 		if c.Kind == ledger.KindJob {
@@ -113,6 +117,7 @@
 				delete(p.active, c.Name)
 				delete(p.low, c.Name)
 				delete(p.failed, c.Name)
+				p.runs.Forget(c.Name)
 			}
 		}
 	}
@@ -256,7 +261,7 @@
 		age := float64(now.UnixMilli()-j.At) / 1000
 		for _, d := range p.cfg.Deadlines(j.Spec.Class, j.Spec.DeadlineS) {
 			w.deadline = float64(j.At)/1000 + d
-			if age+j.Spec.EstimateS <= d {
+			if age+p.runs.RunS(j.Spec) <= d {
 				break
 			}
 			w.late++
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -50,6 +50,7 @@
 	fresh   time.Time
 	types   []wire.MachineType
 	active  map[string]*ledger.Job
+	runs    *place.Estimates
 	since   map[string]time.Time
 	heard   map[string]time.Time
 	marked  map[string]time.Time       // when a machine was marked quiet
@@ -76,7 +77,7 @@
 	r := &Renter{
 		Actor: actor.Start(ctx, "renter", 256), ctx: ctx, cfg: cfg, boot: boot, ledger: l, cloud: c, prober: p, report: report,
 		view:   ledger.NewView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
-		active: map[string]*ledger.Job{}, since: map[string]time.Time{}, heard: map[string]time.Time{}, marked: map[string]time.Time{}, errors: map[string]map[string]bool{},
+		active: map[string]*ledger.Job{}, runs: place.NewEstimates(), since: map[string]time.Time{}, heard: map[string]time.Time{}, marked: map[string]time.Time{}, errors: map[string]map[string]bool{},
 		refused: map[plan.Pool]time.Time{}, hiring: map[string]bool{}, closing: map[string]bool{},
 		probing: map[string]bool{}, unanswered: map[string]time.Time{}, deleted: map[string]time.Time{},
 	}
@@ -106,11 +107,15 @@
 		switch c.Kind {
 		case ledger.KindBind:
 			r.bindChanged(c, now)
+			if b, _ := c.Rec.(*ledger.Bind); b != nil {
+				r.runs.Learn(b, r.view.Jobs)
+			}
 		case ledger.KindJob:
 			if j, _ := c.Rec.(*ledger.Job); j != nil && j.Active() && j.Spec != nil {
 				r.active[c.Name] = j
 			} else {
 				delete(r.active, c.Name)
+				r.runs.Forget(c.Name)
 			}
 		}
 		r.view.Apply(c)
@@ -248,12 +253,12 @@
 		age, due := float64(now.UnixMilli()-j.At)/1000, 0.0
 		deadlines := r.cfg.Deadlines(j.Spec.Class, j.Spec.DeadlineS)
 		for _, d := range deadlines {
-			if due = d - age; ops.BootLagS+j.Spec.EstimateS <= due {
+			if due = d - age; ops.BootLagS+r.runs.RunS(j.Spec) <= due {
 				break
 			}
 		}
 		in.Demands = append(in.Demands, plan.Demand{
-			Job: j.Spec, Count: r.limited(j, n), RunS: j.Spec.EstimateS, Zones: r.zones(id),
+			Job: j.Spec, Count: r.limited(j, n), RunS: r.runs.RunS(j.Spec), Zones: r.zones(id),
 			DeadlineS: due, Overdue: age > overdueTimes*deadlines[len(deadlines)-1],
 		})
 	}
@@ -281,7 +286,7 @@
 			}
 			left := math.Inf(1)
 			if !j.Spec.Service() {
-				left = math.Max(0, j.Spec.EstimateS-now.Sub(r.since[t.Name()]).Seconds())
+				left = math.Max(0, r.runs.RunS(j.Spec)-now.Sub(r.since[t.Name()]).Seconds())
 			}
 			m.Tasks = append(m.Tasks, plan.Held{Job: j.Spec, LeftS: left})
 		}
