--- a/internal/config/ops.go
+++ b/internal/config/ops.go
@@ -28,7 +28,6 @@
 	MemberLease      float64 `json:"member_lease_reports"`
 	Silence          float64 `json:"silence_reports"`
 	Headroom         float64 `json:"headroom_share"`
-	Spare            float64 `json:"spare_share"`
 	Premium          float64 `json:"premium"`
 	StateShare       float64 `json:"state_share"`
 	CloudShare       float64 `json:"cloud_share"`
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -55,7 +55,6 @@
 	PassS    float64
 	BillingS float64
 	Headroom float64 // share of urgent work's room to keep free
-	Spare    float64 // largest share that room for a lost machine may be
 	Premium  float64 // how many times the cheapest pool's cost is too much
 }
 
@@ -221,8 +220,6 @@
 
 // headroom asks for room that urgent arrivals find free: a share of what work
 // of rank high and prod holds and waits for, in zones that are not scarce.
-// For replicas it is enough to replace those of any one machine, where that is
-// no more than the share Spare of all: room for a part of them would not do.
 func (p *pass) headroom() []Demand {
 	if p.Headroom <= 0 {
 		return nil
@@ -231,7 +228,7 @@
 		rank wire.Rank
 		spot bool
 	}
-	sum, loss := map[key]float64{}, map[key]float64{}
+	sum := map[key]float64{}
 	sample := map[key]*wire.Job{}
 	add := func(j *wire.Job, n int) {
 		if j == nil || j.Rank < wire.RankHigh {
@@ -244,18 +241,9 @@
 		}
 	}
 	for i := range p.Machines {
-		on := 0.0
 		for _, h := range p.Machines[i].Tasks {
 			add(h.Job, 1)
-			if h.Job.Rank == wire.RankProd && !h.Job.Spot {
-				on += h.Job.CPUs
-			}
-		}
-		if p.offer[p.Machines[i].Pool.Zone] < p.most {
-			continue // its replicas could not go where the room is
 		}
-		k := key{wire.RankProd, false}
-		loss[k] = math.Max(loss[k], on)
 	}
 	for _, d := range p.Demands {
 		add(d.Job, d.Count)
@@ -264,11 +252,7 @@
 	for k, cpus := range sum {
 		j := *sample[k]
 		j.Zone, j.OneZone, j.Spread = "", false, false
-		room := cpus * p.Headroom
-		if loss[k] <= cpus*p.Spare {
-			room = math.Max(room, loss[k])
-		}
-		n := int(math.Ceil(room/j.CPUs - 1e-6))
+		n := int(math.Ceil(cpus * p.Headroom / j.CPUs))
 		out = append(out, Demand{Job: &j, Count: n, DeadlineS: math.Inf(1), RunS: 1, Roomy: true})
 	}
 	return out
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -241,7 +241,7 @@
 	now := time.Now()
 	ops := r.cfg.Ops
 	in := plan.Input{
-		Types: r.types, LagS: ops.BootLagS, PassS: ops.PassS, BillingS: ops.BillingPeriodS, Headroom: ops.Headroom, Spare: ops.Spare, Premium: ops.Premium,
+		Types: r.types, LagS: ops.BootLagS, PassS: ops.PassS, BillingS: ops.BillingPeriodS, Headroom: ops.Headroom, Premium: ops.Premium,
 		Refused: func(p plan.Pool) bool { return now.Before(r.refused[p]) },
 	}
 	for id, j := range r.active {
