--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -234,6 +234,15 @@
 	return j.Tasks - p.view.DoneCount(id) - len(p.view.Bound[id])
 }
 
+func (p *Placer) anyWaits(mine map[string]*ledger.Hand) bool {
+	for id, j := range p.active {
+		if mine[j.Spec.Team] != nil && p.waits(id, j) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 type waiting struct {
 	id       string
 	job      *ledger.Job
@@ -243,9 +252,11 @@
 }
 
 // queue orders the jobs that have tasks to place: by rank, then earliest
-// deadline first. A job that can't meet a deadline any more gives way to those
-// that can: under overload plain EDF makes every job late.
-func (p *Placer) queue(mine map[string]*ledger.Hand, now time.Time) []waiting {
+// deadline first. A job that can't meet a deadline any more, though it had the
+// whole cluster, gives way to those that can: under overload plain EDF makes
+// every job late. Of those that can't meet any, the one with the least left
+// goes first.
+func (p *Placer) queue(mine map[string]*ledger.Hand, c *cluster, now time.Time) []waiting {
 	var q []waiting
 	for id, j := range p.active {
 		if mine[j.Spec.Team] == nil {
@@ -258,14 +269,20 @@
 			continue
 		}
 		w := waiting{id: id, job: j, hand: mine[j.Spec.Team].Stamp}
+		run, left := p.runs.RunS(j.Spec), float64(p.waits(id, j))
+		need := run * (1 + left/c.slots(j.Spec))
+		deadlines := p.cfg.Deadlines(j.Spec.Class, j.Spec.DeadlineS)
 		age := float64(now.UnixMilli()-j.At) / 1000
-		for _, d := range p.cfg.Deadlines(j.Spec.Class, j.Spec.DeadlineS) {
+		for _, d := range deadlines {
 			w.deadline = float64(j.At)/1000 + d
-			if age+p.runs.RunS(j.Spec) <= d {
+			if age+need <= d {
 				break
 			}
 			w.late++
 		}
+		if w.late == len(deadlines) && !j.Spec.Service() {
+			w.deadline = run * left * j.Spec.CPUs
+		}
 		q = append(q, w)
 	}
 	slices.SortFunc(q, func(a, b waiting) int {
@@ -298,6 +315,18 @@
 	boots  []*Node // machines that are coming up
 }
 
+// slots is how many tasks of a job the machines that are up could run at once
+// if they had nothing else to do.
+func (c *cluster) slots(j *wire.Job) float64 {
+	n := 1.0
+	for _, node := range c.nodes {
+		if Allowed(j, node.Type.Name, node.Zone, node.Spot) {
+			n += math.Floor(1/Of(j).Share(Capacity(node.Type)) + slack)
+		}
+	}
+	return n
+}
+
 // worthWaiting tells whether a job that could go elsewhere had better wait
 // for a machine that is coming up than take room in a zone where little can
 // be rented: that room is for jobs that must spread into it. Only a cluster
@@ -380,11 +409,14 @@
 	if len(mine) == 0 {
 		return
 	}
-	q := p.queue(mine, now)
-	if len(q) == 0 {
+	if !p.anyWaits(mine) {
 		return
 	}
 	c := p.cluster(now)
+	q := p.queue(mine, c, now)
+	if len(q) == 0 {
+		return
+	}
 	b := &batch{
 		binds: map[string]*ledger.Bind{}, jobs: map[string]uint64{}, placed: map[string]int{}, hands: map[string]uint64{},
 		starts: map[string][]wire.Order{}, stops: map[string][]wire.Order{},
