--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -294,23 +294,28 @@
 
 // onExisting puts a task on the machine that has room for it first, if it
 // starts there before a new machine could be up or still ends in time: then
-// it puts no load on new machines past the boot lag.
+// it puts no load on new machines past the boot lag. A machine that boots for
+// longer than the lag covers load from its rental on: another one would not be
+// up sooner, and every pass would rent it again.
 func (p *pass) onExisting(d Demand, need place.Res, zones place.Zones, run float64) bool {
+	endless := d.Job.Service() || math.IsInf(d.DeadlineS, 1)
 	var best *slot
-	bestAt, bestShare := math.Max(p.LagS, d.DeadlineS-run), 0.0
-	if d.Job.Service() || math.IsInf(d.DeadlineS, 1) {
-		bestAt = p.LagS
-	}
-	bestKind := false
+	bestAt, bestShare, bestKind := math.Inf(1), 0.0, false
 	for _, s := range p.room {
 		pool := s.m.Pool
 		if !p.allows(d, pool, zones) {
 			continue
 		}
 		share := need.Share(place.Capacity(s.typ))
-		at := s.free(share)
+		at, limit := s.free(share), p.LagS
+		if s.ready > 0 {
+			limit = math.Max(limit, s.typ.BootS)
+		}
+		if !endless {
+			limit = math.Max(limit, d.DeadlineS-run)
+		}
 		kind := pool.Spot == d.Job.Spot
-		if at < bestAt || at == bestAt && best != nil && kind && !bestKind {
+		if at <= limit && (at < bestAt || at == bestAt && kind && !bestKind) {
 			best, bestAt, bestShare, bestKind = s, at, share, kind
 		}
 	}
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -121,3 +121,17 @@
 		}
 	})
 }
+
+// A machine whose type boots for longer than the lag was rented again by every
+// pass until it was nearly up.
+func TestSlowBootIsRentedOnce(t *testing.T) {
+	in := base(Demand{Job: &wire.Job{ID: "req-000001", Shape: wire.ShapeService, CPUs: 4, MemoryGB: 1, Tasks: 1}, Count: 1})
+	in.Types = []wire.MachineType{{Name: "s", CPUs: 4, MemoryGB: 16, Price: 1, BootS: 80, Zones: []string{"a"}}}
+	if got := Make(in).Rent; len(got) != 1 || got[0].Count != 1 {
+		t.Fatalf("first pass rents %+v", got)
+	}
+	in.Machines = []Machine{{Name: "m", Pool: Pool{"s", "a", false}, Open: true, ReadyS: 80}}
+	if got := Make(in).Rent; len(got) != 0 {
+		t.Fatalf("second pass rents %+v", got)
+	}
+}
