--- a/cmd/lynxledge/cluster_test.go
+++ b/cmd/lynxledge/cluster_test.go
@@ -174,7 +174,7 @@
 var kinds = []string{
 	"submit", "submit", "submit", "service", "resubmit", "abort", "poll", "poll", "wait", "wait", "wait",
 	"crash", "crash all", "restart", "cut node", "hold node", "cut state", "hold state", "cut worker", "hold worker",
-	"heal", "heal", "outage", "recover", "fail", "take", "notice", "loss", "repeat", "calm", "stranger",
+	"heal", "heal", "outage", "recover", "fail", "take", "notice", "loss", "repeat", "calm", "stranger", "stick",
 }
 
 func genActs() *rapid.Generator[[]act] {
@@ -241,6 +241,8 @@
 		if machine != "" {
 			w.cloud.Notice(machine, 15)
 		}
+	case "stick":
+		w.cloud.Stick(1 + a.A%3)
 	case "loss":
 		w.net.SetFates(0.2, 0)
 	case "repeat":
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -138,6 +138,9 @@
 		delete(r.errors, c.Name)
 		delete(r.unanswered, c.Name)
 		r.deleted[c.Name] = now
+		if old != nil {
+			delete(r.refused, plan.Pool{Type: old.Type, Zone: old.Zone, Spot: old.Spot})
+		}
 		return
 	}
 	if _, ok := r.heard[c.Name]; !ok && b.Session > 0 || old != nil && old.Quiet && !b.Quiet {
@@ -268,10 +271,9 @@
 			AgeS: (float64(now.UnixMilli()) - float64(b.At)) / 1000, Open: b.Drain == "" && !b.Closed && !b.Quiet,
 		}
 		if b.Session == 0 {
-			boot := r.bootS(b.Type)
-			m.ReadyS = math.Max(0, boot-m.AgeS)
+			m.ReadyS = math.Max(0, r.bootS(b.Type)-m.AgeS)
 			// A boot that drags on may never end: it covers no load any more.
-			m.Open = m.Open && m.AgeS <= bootUsual*boot
+			m.Open = m.Open && !r.drags(b, now)
 		}
 		for i := range b.Tasks {
 			t := &b.Tasks[i]
@@ -378,11 +380,27 @@
 	if none || len(nests) < intent.Count {
 		r.refused[pool] = time.Now().Add(config.Secs(r.cfg.Ops.PassS * refusalPasses))
 		r.again = true
+		r.giveUpBoots(pool)
 		slog.Info("cloud gave less", "hire", name, "type", intent.Type, "zone", intent.Zone, "spot", intent.Spot, "asked", intent.Count, "got", len(nests))
 	}
 	r.record(name, intent, nests)
 }
 
+// giveUpBoots returns the machines of a pool whose boots drag on: while they
+// are held, the cloud may have no other to give in their place.
+func (r *Renter) giveUpBoots(pool plan.Pool) {
+	for m, b := range r.view.Binds {
+		if b.Type == pool.Type && b.Zone == pool.Zone && b.Spot == pool.Spot && r.drags(b, time.Now()) {
+			r.close(m, "boot drags on and no other is to be had")
+		}
+	}
+}
+
+// drags tells whether a machine has been starting for longer than is usual.
+func (r *Renter) drags(b *ledger.Bind, now time.Time) bool {
+	return b.Session == 0 && now.Sub(time.UnixMilli(b.At)) > config.Secs(bootUsual*r.bootS(b.Type))
+}
+
 // refusalPasses is for how many passes a pool that ran short is left alone.
 const refusalPasses = 4
 
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -22,6 +22,7 @@
 	hires   map[string][]string
 	hosts   map[string]*host
 	next    int
+	stuck   int // machines that are still to be rented and will never come up
 	history []snapshot
 	boot    func(h wire.Host) *Worker
 }
@@ -65,6 +66,10 @@
 		c.hosts[id] = h
 		names = append(names, id)
 		wait := time.Duration(c.rng.Int64N(int64(20 * time.Second)))
+		if c.stuck > 0 {
+			c.stuck--
+			continue
+		}
 		go func() {
 			if !sleep(ctx, wait) {
 				return
@@ -125,6 +130,13 @@
 	return nil, nil
 }
 
+// Stick makes the next n machines never come up.
+func (c *Cloud) Stick(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stuck = n
+}
+
 // Fail stops the i-th machine that is up, with everything on it; taken: the
 // cloud takes it back, and it is not listed any more.
 func (c *Cloud) Fail(i int, taken bool) string {
