Done sets go with the job's last write; actors forget jobs that are done

Cause: a done set was kept for ever beside the record that calls its job done, and every actor kept every finished job: memory and start-up grew with the age of the cluster. Ruled out: nothing else reads a finished job's set.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -51,7 +51,7 @@
 func Start(ctx context.Context, leases Leases, l *ledger.Ledger, opt Options) *Election {
 	e := &Election{
 		Actor: actor.Start(ctx, "election", 256), ctx: ctx, leases: leases, ledger: l,
-		opt: opt, view: ledger.NewView(opt.Chunk),
+		opt: opt, view: ledger.NewRunningView(opt.Chunk),
 	}
 	l.Subscribe(func(d ledger.Delta) {
 		e.Send(func() {
--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -1,5 +1,7 @@
 package ledger
 
+import "lynxledge/wire"
+
 // Change is one key's new record; Rec is nil when the key is gone. Records
 // are shared by every view and never written to.
 type Change struct {
@@ -24,6 +26,7 @@
 	Term    *Term
 
 	chunkTasks int
+	running    bool // keep no jobs that are done
 }
 
 // NewView makes an empty view; chunkTasks is the number of tasks in a chunk
@@ -36,6 +39,14 @@
 	}
 }
 
+// NewRunningView makes a view for an actor that has no use for jobs once they
+// are done: there may be any number of them.
+func NewRunningView(chunkTasks int) *View {
+	v := NewView(chunkTasks)
+	v.running = true
+	return v
+}
+
 // ChunkTasks sizes the chunks of done sets for a value limit: base64 takes
 // four bytes for three, and half the value is left as margin.
 func ChunkTasks(valueKB float64) int { return max(1, int(valueKB*1024/2*3/4)) * 8 }
@@ -53,6 +64,9 @@
 	switch c.Kind {
 	case KindJob:
 		put(v.Jobs, c.Name, c.Rec)
+		if j := v.Jobs[c.Name]; v.running && j != nil && j.State == wire.JobDone {
+			delete(v.Jobs, c.Name)
+		}
 	case KindDone:
 		v.applyDone(c)
 	case KindBind:
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -70,7 +70,7 @@
 	p := &Placer{
 		Actor: actor.Start(ctx, "placer", 512), ctx: ctx, cfg: cfg, boot: boot, ledger: l, worker: w,
 		report: report, rng: rand.New(rand.NewPCG(boot, 1)),
-		view:  ledger.NewView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
+		view:  ledger.NewRunningView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
 		types: map[string]*wire.MachineType{}, active: map[string]*ledger.Job{}, runs: NewEstimates(), low: map[string]int{},
 		since: map[string]time.Time{}, images: map[string][]image{}, failed: map[string]*failure{},
 		shaky: map[string]time.Time{},
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -76,7 +76,7 @@
 func Start(ctx context.Context, cfg *config.Config, boot uint64, l *ledger.Ledger, c Cloud, p Prober, report func(*wire.Report)) *Renter {
 	r := &Renter{
 		Actor: actor.Start(ctx, "renter", 256), ctx: ctx, cfg: cfg, boot: boot, ledger: l, cloud: c, prober: p, report: report,
-		view:   ledger.NewView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
+		view:   ledger.NewRunningView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
 		active: map[string]*ledger.Job{}, runs: place.NewEstimates(), since: map[string]time.Time{}, heard: map[string]time.Time{}, marked: map[string]time.Time{}, errors: map[string]map[string]bool{},
 		refused: map[plan.Pool]time.Time{}, hiring: map[string]bool{}, closing: map[string]bool{},
 		probing: map[string]bool{}, unanswered: map[string]time.Time{}, deleted: map[string]time.Time{},
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"strings"
 	"time"
 
 	"lynxledge/internal/actor"
@@ -42,7 +43,7 @@
 func Start(ctx context.Context, cfg *config.Config, l *ledger.Ledger, elsewhere func() string) *Reports {
 	r := &Reports{
 		Actor: actor.Start(ctx, "reports", 512), ctx: ctx, cfg: cfg, ledger: l, elsewhere: elsewhere,
-		view:    ledger.NewView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
+		view:    ledger.NewRunningView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
 		pending: map[string]*wire.Report{}, heard: map[string]bool{}, began: map[string]time.Time{},
 		gone: map[string]time.Time{},
 	}
@@ -375,6 +376,7 @@
 		}
 		if n == r.view.Jobs[job].Tasks && t.Ops() < limit {
 			t.Puts = append(t.Puts, r.ended(job))
+			r.dropSet(t, job, limit)
 			at := time.UnixMilli(r.view.Jobs[job].At)
 			t.log = append(t.log, func() { slog.Debug("job done", "job", job, "age_s", int(time.Since(at).Seconds())) })
 		}
@@ -383,7 +385,37 @@
 
 func (r *Reports) chunkTasks() int { return ledger.ChunkTasks(r.cfg.Params.State.ValueKB) }
 
-// ended is a job's last record. The done set stays: it is what says so.
+// dropSet takes a job's done set out of the state service with the write that
+// calls the job done, if the transaction has room for that.
+func (r *Reports) dropSet(t *txn, job string, limit int) {
+	keys := map[string]bool{}
+	for chunk := range r.view.Done[job] {
+		keys[ledger.DoneKey(job, chunk)] = true
+	}
+	kept := t.Puts[:0:0]
+	for _, p := range t.Puts {
+		d, set := p.Rec.(*ledger.DoneChunk)
+		if set && strings.HasPrefix(p.Key, ledger.DoneKeys(job)) {
+			if d.Stamp == 0 {
+				continue // never stored: there is nothing to drop
+			}
+			if keys[p.Key] {
+				delete(keys, p.Key)
+				t.Delete = append(t.Delete, p.Key)
+				continue
+			}
+		}
+		kept = append(kept, p)
+	}
+	t.Puts = kept
+	for key := range keys {
+		if t.Ops() < limit {
+			t.Delete = append(t.Delete, key)
+		}
+	}
+}
+
+// ended is a job's last record.
 func (r *Reports) ended(job string) ledger.Put {
 	j := r.view.Jobs[job]
 	return ledger.Put{Key: ledger.Key(ledger.KindJob, job), Rec: &ledger.Job{
@@ -399,11 +431,13 @@
 	if j == nil || !j.Active() || r.view.DoneCount(job) < j.Tasks {
 		return
 	}
-	r.ledger.Commit(ledger.Commit{
+	t := &txn{Commit: ledger.Commit{
 		Guards:   []wire.Guard{{Key: ledger.Key(ledger.KindJob, job), Version: j.Stamp}},
 		Puts:     []ledger.Put{r.ended(job)},
 		Patience: config.Secs(r.cfg.Params.Workers.ReportS),
-	}, func(ledger.Outcome) {})
+	}}
+	r.dropSet(t, job, r.cfg.Params.State.TxnOps)
+	r.ledger.Commit(t.Commit, func(ledger.Outcome) {})
 }
 
 func cutLast(s string) (before, after string, found bool) {
