--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -140,6 +140,21 @@
 	return nil
 }
 
+// Left lists the tasks of old that a machine's next record lacks; either may
+// be nil.
+func Left(old, next *Bind) []*Bound {
+	var out []*Bound
+	if old == nil {
+		return out
+	}
+	for i := range old.Tasks {
+		if t := &old.Tasks[i]; next == nil || next.Find(t.Job, t.N) == nil {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 // Next copies the record for a rewrite: a higher token, nothing gone yet.
 func (b *Bind) Next(term uint64) *Bind {
 	n := *b
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -130,12 +130,8 @@
 // which images are there, and what failed.
 func (p *Placer) bindChanged(c ledger.Change, now time.Time) {
 	b, _ := c.Rec.(*ledger.Bind)
-	if old := p.view.Binds[c.Name]; old != nil {
-		for i := range old.Tasks {
-			if t := &old.Tasks[i]; b == nil || b.Find(t.Job, t.N) == nil {
-				delete(p.since, t.Name())
-			}
-		}
+	for _, t := range ledger.Left(p.view.Binds[c.Name], b) {
+		delete(p.since, t.Name())
 	}
 	if b == nil {
 		delete(p.images, c.Name)
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -125,12 +125,8 @@
 func (r *Renter) bindChanged(c ledger.Change, now time.Time) {
 	b, _ := c.Rec.(*ledger.Bind)
 	old := r.view.Binds[c.Name]
-	if old != nil {
-		for i := range old.Tasks {
-			if t := &old.Tasks[i]; b == nil || b.Find(t.Job, t.N) == nil {
-				delete(r.since, t.Name())
-			}
-		}
+	for _, t := range ledger.Left(old, b) {
+		delete(r.since, t.Name())
 	}
 	if b == nil {
 		delete(r.heard, c.Name)
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -75,12 +75,8 @@
 	if b == nil {
 		r.gone[c.Name] = time.Now()
 	}
-	if old := r.view.Binds[c.Name]; old != nil {
-		for i := range old.Tasks {
-			if t := &old.Tasks[i]; b == nil || b.Find(t.Job, t.N) == nil {
-				delete(r.began, c.Name+" "+t.Name())
-			}
-		}
+	for _, t := range ledger.Left(r.view.Binds[c.Name], b) {
+		delete(r.began, c.Name+" "+t.Name())
 	}
 }
 
@@ -426,7 +422,7 @@
 // complete ends a job that has all its tasks done but is not called done: two
 // nodes may have recorded its last tasks in different chunks at once.
 func (r *Reports) complete(name string) {
-	job, _, _ := cutLast(name)
+	job, _, _ := strings.Cut(name, "/")
 	j := r.view.Jobs[job]
 	if j == nil || !j.Active() || r.view.DoneCount(job) < j.Tasks {
 		return
@@ -439,12 +435,3 @@
 	r.dropSet(t, job, r.cfg.Params.State.TxnOps)
 	r.ledger.Commit(t.Commit, func(ledger.Outcome) {})
 }
-
-func cutLast(s string) (before, after string, found bool) {
-	for i := len(s) - 1; i >= 0; i-- {
-		if s[i] == '/' {
-			return s[:i], s[i+1:], true
-		}
-	}
-	return s, "", false
-}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -250,26 +250,20 @@
 
 // Do sends commands straight to a worker; they may be executed late or twice.
 func (c *WorkerConn) Do(ctx context.Context, addr string, cmd wire.Commands) (*wire.Report, error) {
-	w := c.Cloud.worker(addr)
-	if w == nil {
-		return nil, errors.New("no such machine")
-	}
-	return send(ctx, c.Net, c.Node, w.host.ID, c.Timeout, func() (*wire.Report, error) {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		if w.ctx.Err() != nil {
-			return nil, errNoAnswer
-		}
+	return c.visit(ctx, addr, func(w *Worker) {
 		if cmd.Token >= w.token && cmd.Session == w.session {
 			w.token = cmd.Token
 			w.orders(cmd.Orders)
 		}
-		return w.report(), nil
 	})
 }
 
 // Inspect reads a worker's report.
 func (c *WorkerConn) Inspect(ctx context.Context, addr string) (*wire.Report, error) {
+	return c.visit(ctx, addr, func(*Worker) {})
+}
+
+func (c *WorkerConn) visit(ctx context.Context, addr string, f func(w *Worker)) (*wire.Report, error) {
 	w := c.Cloud.worker(addr)
 	if w == nil {
 		return nil, errors.New("no such machine")
@@ -280,6 +274,7 @@
 		if w.ctx.Err() != nil {
 			return nil, errNoAnswer
 		}
+		f(w)
 		return w.report(), nil
 	})
 }
