--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -532,8 +532,9 @@
 		}
 	}
 	r.mark(quiet)
-	// By then a machine that was only cut off has ended its tasks itself.
-	lost := config.Secs(r.cfg.Params.Workers.LeaseS) + silence
+	// One that stopped is listed as failed long before this; one that is cut
+	// off ends its tasks after a lease, but may be back sooner than another.
+	lost := config.Secs(2 * r.cfg.Params.Workers.LeaseS)
 	for _, m := range silent {
 		// A leader that is cut off from the workers hears none, and then the
 		// mesh may be silent too: others had the time to take the mark away.
@@ -551,9 +552,10 @@
 	}
 }
 
-// replaceable tells whether most replicas of a silent machine have room on
+// replaceable tells whether all replicas of a silent machine have room on
 // others. If not, it is kept for as long as its lease may run: a machine that
-// is cut off goes on serving, and a new one takes its time to boot.
+// is cut off goes on serving, a new one takes its time to boot, and the cloud
+// may have none.
 func (r *Renter) replaceable(silent string) bool {
 	types := map[string]*wire.MachineType{}
 	for i := range r.types {
@@ -573,21 +575,20 @@
 		}
 		nodes = append(nodes, n)
 	}
-	replicas, placed := 0, 0
 	for _, t := range r.view.Binds[silent].Tasks {
 		j := r.view.Jobs[t.Job]
 		if j == nil || !j.Active() || !j.Spec.Service() {
 			continue
 		}
-		replicas++
 		zones := r.zones(t.Job)
 		zones[r.view.Binds[silent].Zone]--
-		if n := place.Pick(j.Spec, zones, place.Offers{}, nodes); n != nil {
-			n.Used = n.Used.Plus(place.Of(j.Spec), 1)
-			placed++
+		n := place.Pick(j.Spec, zones, place.Offers{}, nodes)
+		if n == nil {
+			return false
 		}
+		n.Used = n.Used.Plus(place.Of(j.Spec), 1)
 	}
-	return 2*placed >= replicas
+	return true
 }
 
 // zones counts a job's bound tasks by zone.
--- a/internal/rent/rent_test.go
+++ b/internal/rent/rent_test.go
@@ -14,7 +14,7 @@
 
 // lead runs a renter that leads, over a cloud that has limit machines of one
 // type, with a service that waits for one.
-func lead(t *testing.T, limit int, f func(l *ledger.Ledger, c *standin.Cloud)) {
+func lead(t *testing.T, limit int, f func(l *ledger.Ledger, c *standin.Cloud, r *Renter)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
@@ -47,7 +47,7 @@
 				ID: "req-000001", Team: "red", Shape: wire.ShapeService, Rank: wire.RankProd, Tasks: 1, CPUs: 4, MemoryGB: 1,
 			}}},
 		}}, func(ledger.Outcome) {})
-		f(l, cloud)
+		f(l, cloud, r)
 		cancel()
 		time.Sleep(time.Minute)
 	})
@@ -56,7 +56,7 @@
 // The only machine of a pool that never comes up must not block the pool: it
 // did for three boot times, with every replica of the zone waiting.
 func TestStuckBootFreesItsPool(t *testing.T) {
-	lead(t, 1, func(_ *ledger.Ledger, c *standin.Cloud) {
+	lead(t, 1, func(_ *ledger.Ledger, c *standin.Cloud, _ *Renter) {
 		c.Stick(1)
 		time.Sleep(75 * time.Second) // 1.6 boots, a pass, and another boot
 		if len(c.Up()) != 1 {
@@ -67,10 +67,57 @@
 
 // One waiting replica rents one machine, however many passes its boot takes.
 func TestRentsOnce(t *testing.T) {
-	lead(t, 5, func(_ *ledger.Ledger, c *standin.Cloud) {
+	lead(t, 5, func(_ *ledger.Ledger, c *standin.Cloud, _ *Renter) {
 		time.Sleep(24 * time.Second)
 		if n := len(c.Up()); n != 1 {
 			t.Errorf("%d machines up for one replica", n)
 		}
 	})
 }
+
+// A silent machine whose replicas have no room elsewhere was returned when half
+// of them had, though the cloud had no other: it is kept for two leases, since
+// it may only be cut off. One that holds batch work alone is returned soon.
+func TestIrreplaceableMachineIsKept(t *testing.T) {
+	lead(t, 0, func(l *ledger.Ledger, _ *standin.Cloud, r *Renter) {
+		bind := func(tasks ...ledger.Bound) *ledger.Bind {
+			return &ledger.Bind{Type: "s", Zone: "a", Addr: "x:1", Session: 1, Tasks: tasks, At: time.Now().UnixMilli()}
+		}
+		c := ledger.Commit{Puts: []ledger.Put{
+			{Key: ledger.Key(ledger.KindJob, "req-000002"), Rec: &ledger.Job{Tasks: 1, At: time.Now().UnixMilli(), Spec: &wire.Job{
+				ID: "req-000002", Team: "red", Shape: wire.ShapeArray, Tasks: 1, CPUs: 4, MemoryGB: 1, EstimateS: 500,
+			}}},
+			{Key: ledger.Key(ledger.KindBind, "i-8"), Rec: bind(ledger.Bound{Job: "req-000002", Attempt: 1})},
+			{Key: ledger.Key(ledger.KindBind, "i-9"), Rec: bind(ledger.Bound{Job: "req-000001", Attempt: 1})},
+		}}
+		heard := []string{"i-1", "i-2", "i-3"}
+		for _, m := range heard {
+			full := bind(ledger.Bound{Job: "req-000001", N: len(c.Puts), Attempt: 1}) // no room here
+			c.Puts = append(c.Puts, ledger.Put{Key: ledger.Key(ledger.KindBind, m), Rec: full})
+		}
+		l.Commit(c, func(ledger.Outcome) {})
+		there := func() (batch, replica bool) {
+			ch := make(chan bool, 2)
+			r.Send(func() { ch <- r.view.Binds["i-8"] != nil; ch <- r.view.Binds["i-9"] != nil })
+			return <-ch, <-ch
+		}
+		wait := func(s int) {
+			for range s {
+				r.Heard(heard)
+				time.Sleep(time.Second)
+			}
+		}
+		wait(5)
+		if batch, replica := there(); !batch || !replica {
+			t.Errorf("returned after 5 s: batch %v, replica %v", !batch, !replica)
+		}
+		wait(20)
+		if batch, replica := there(); batch || !replica {
+			t.Errorf("after 25 s: batch kept %v, replica kept %v", batch, replica)
+		}
+		wait(60)
+		if _, replica := there(); replica {
+			t.Error("kept beyond two leases")
+		}
+	})
+}
