--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 
 	"lynxledge/internal/config"
 	"lynxledge/wire"
@@ -58,6 +59,7 @@
 	Job   *wire.Job // nil when its job is unknown
 	Name  string
 	Stops bool    // ordered to stop
+	Owed  bool    // its job fits its team's guarantee with the team's earlier jobs
 	Last  bool    // its job has no task waiting: stopping it delays the job
 	Spent float64 // seconds since it was bound
 }
@@ -175,6 +177,35 @@
 	Cost  float64
 }
 
+// Owed tells which jobs are within their teams' guarantees: those that fit
+// together with the team's earlier unfinished jobs. What a team runs beyond its
+// guarantee is the rest.
+func Owed(jobs []Claim, team func(string) config.Team) map[string]bool {
+	slices.SortFunc(jobs, func(a, b Claim) int {
+		if a.At != b.At {
+			return int(a.At - b.At)
+		}
+		return strings.Compare(a.Job.ID, b.Job.ID)
+	})
+	used := Tally{}
+	owed := map[string]bool{}
+	for _, c := range jobs {
+		all := Res{}.Plus(Of(c.Job), float64(c.Left))
+		if used.WithinGuarantee(team(c.Job.Team), all) {
+			owed[c.Job.ID] = true
+		}
+		used[c.Job.Team] = used[c.Job.Team].Plus(all, 1)
+	}
+	return owed
+}
+
+// Claim is an unfinished job: when it was accepted, and its tasks not yet done.
+type Claim struct {
+	Job  *wire.Job
+	At   int64
+	Left int
+}
+
 // Preempt finds the cheapest set of tasks to stop for a task of job j. Work
 // of lower rank may go; with the team inside its guarantee so may work of any
 // rank that another team runs beyond its own. Nothing else may.
@@ -210,7 +241,7 @@
 			continue
 		}
 		lower := t.Job.Rank < j.Rank
-		if !lower && !(guaranteed && t.Job.Team != j.Team) {
+		if !lower && (!guaranteed || t.Owed || t.Job.Team == j.Team) {
 			continue
 		}
 		lost := t.Spent
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -347,6 +347,11 @@
 // cluster puts together the machines with room and what teams use.
 func (p *Placer) cluster(now time.Time) *cluster {
 	tally := Tally{}
+	claims := make([]Claim, 0, len(p.active))
+	for id, j := range p.active {
+		claims = append(claims, Claim{j.Spec, j.At, j.Tasks - p.view.DoneCount(id)})
+	}
+	owed := Owed(claims, p.team)
 	var nodes, boots []*Node
 	for name, b := range p.view.Binds {
 		typ := p.types[b.Type]
@@ -364,6 +369,7 @@
 					n.Used = n.Used.Plus(res, 1)
 				}
 				task.Stops = task.Stops || !j.Active()
+				task.Owed = owed[t.Job]
 				task.Last = p.waits(t.Job, j) <= 0
 			}
 			task.Spent = now.Sub(p.since[task.Name]).Seconds()
