--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -315,6 +315,7 @@
 				continue
 			}
 			if to := Pick(t.Job, Zones{}, Offers{}, elsewhere); to != nil && to.Image(t.Job.Image) {
+				to.Used = to.Used.Plus(Of(t.Job), 1) // one room is not for two
 				return &Victims{Node: n, Tasks: []int{i}}
 			}
 		}
--- a/internal/place/choose_test.go
+++ b/internal/place/choose_test.go
@@ -129,6 +129,26 @@
 	}
 }
 
+// Room for one replica elsewhere lets one be moved, not two.
+func TestMoveCountsTheRoom(t *testing.T) {
+	replica := func(n int, spread bool) *wire.Job {
+		return &wire.Job{ID: fmt.Sprintf("req-%06d", n), Shape: wire.ShapeService, Rank: wire.RankProd, Tasks: 1 + n%2, CPUs: 4, Image: "x", Spread: spread}
+	}
+	has := func(string) bool { return true }
+	full := &Node{Name: "f", Type: &testTypes[0], Zone: "p", Image: has, Used: Res{CPUs: 4}, Tasks: []Task{{Job: replica(2, false)}}}
+	other := &Node{Name: "g", Type: &testTypes[0], Zone: "p", Image: has, Used: Res{CPUs: 4}, Tasks: []Task{{Job: replica(4, false)}}}
+	free := &Node{Name: "h", Type: &testTypes[0], Zone: "q", Image: has}
+	nodes := []*Node{full, other, free}
+	first := Move(replica(1, true), Zones{"q": 1}, nodes)
+	if first == nil || first.Node != full {
+		t.Fatalf("not moved: %+v", first)
+	}
+	full.Tasks[0].Stops = true
+	if second := Move(replica(3, true), Zones{"q": 1}, nodes); second != nil {
+		t.Fatalf("moved without room: %+v", second)
+	}
+}
+
 func TestSampleIsBounded(t *testing.T) {
 	nodes := make([]*Node, 500)
 	for i := range nodes {
