--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -8,6 +8,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lynxledge/internal/actor"
@@ -181,18 +182,7 @@
 
 // hand gives teams without a live controller a new one and evens them out.
 func (e *Election) hand() {
-	teams := append([]string(nil), e.opt.Teams...)
-	known := map[string]bool{}
-	for _, t := range teams {
-		known[t] = true
-	}
-	for _, j := range e.view.Jobs {
-		// A team may have left the settings while its jobs run on.
-		if j.Active() && j.Spec != nil && !known[j.Spec.Team] {
-			known[j.Spec.Team] = true
-			teams = append(teams, j.Spec.Team)
-		}
-	}
+	teams := Teams(e.opt.Teams, e.view.Jobs)
 	c := ledger.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Version: e.view.Leader.Stamp}}}
 	for team, member := range Assign(teams, e.view.Hands, e.view.Members) {
 		if len(c.Puts) == e.opt.MaxOps {
@@ -212,6 +202,18 @@
 	}
 }
 
+// Teams lists those of the settings and those that left them while jobs of
+// theirs run on.
+func Teams(settings []string, jobs map[string]*ledger.Job) []string {
+	teams := slices.Clone(settings)
+	for _, j := range jobs {
+		if j.Active() && j.Spec != nil && !slices.Contains(teams, j.Spec.Team) {
+			teams = append(teams, j.Spec.Team)
+		}
+	}
+	return teams
+}
+
 // Assign names the teams that need another controller. A team stays where it
 // is while its controller lives and holds no more than its part.
 func Assign(teams []string, hands map[string]*ledger.Hand, members map[string]*ledger.Member) map[string]string {
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -9,6 +10,7 @@
 	_ "lynxledge/internal/seeded"
 
 	"lynxledge/internal/ledger"
+	"lynxledge/wire"
 )
 
 // After an assignment every team has a live controller, none has more than
@@ -46,3 +48,14 @@
 		}
 	})
 }
+
+// A team that left the settings keeps its running jobs placed.
+func TestTeamsOfRunningJobs(t *testing.T) {
+	job := func(team, state string) *ledger.Job { return &ledger.Job{Spec: &wire.Job{Team: team}, State: state} }
+	got := Teams([]string{"a"}, map[string]*ledger.Job{
+		"1": job("a", ""), "2": job("gone", ""), "3": job("over", wire.JobCancelled), "4": job("gone", ""),
+	})
+	if !slices.Equal(got, []string{"a", "gone"}) {
+		t.Fatalf("teams %v", got)
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -210,6 +210,9 @@
 		if key == "" {
 			key, raw = e.Delete, nil
 		}
+		if kind, name, ok := split(key); ok && l.view.stamp(kind, name) >= e.Version {
+			continue // an own commit, taken over already
+		}
 		if c, ok := l.change(key, raw, e.Version); ok {
 			chs = append(chs, c)
 		}
--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -153,7 +153,7 @@
 	return v.Term.Term
 }
 
-// Has tells the stamp of a key, 0 when it does not exist.
+// stamp tells the stamp of a key, 0 when it does not exist.
 func (v *View) stamp(kind, name string) uint64 {
 	switch kind {
 	case KindJob:
