--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -527,7 +527,11 @@
 		return false
 	}
 	rec := b.binds[node.Name]
-	t := ledger.Bound{Job: w.id, N: n, Attempt: p.epoch}
+	// The record's token has never been used on this machine before. The view's
+	// revision would not do: it stands still between an own commit and its
+	// repeat by the watch, and an attempt used twice on a machine lets the first
+	// one's end pass for the second's.
+	t := ledger.Bound{Job: w.id, N: n, Attempt: rec.Token}
 	rec.Tasks = append(rec.Tasks, t)
 	if raw, err := json.Marshal(rec); err != nil || len(raw) > int(p.cfg.Params.State.ValueKB*1024*recordFill) {
 		rec.Tasks = rec.Tasks[:len(rec.Tasks)-1]
