--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -199,9 +199,7 @@
 }
 
 // events takes a watch's answer over. It carries every change after the
-// revision asked for, so what lies at or below the view's epoch is known. Own
-// commits must not be left out, though they were taken over before: see
-// docs/incidents/own-commits-skipped.md.
+// revision asked for, so what lies at or below the view's epoch is known.
 func (l *Ledger) events(ev *wire.Events, begun time.Time) {
 	var chs []Change
 	for _, e := range ev.Events {
@@ -220,12 +218,15 @@
 	if begun.After(l.fresh) {
 		l.fresh = begun
 	}
+	l.publish(chs)
+	// Only now: one answer may hold an older record of a key that an own commit
+	// deleted. Taken over, it would bind its tasks to the old machine for a
+	// moment, and hide where they have been bound since.
 	for k, s := range l.dead {
 		if s <= l.epoch {
 			delete(l.dead, k)
 		}
 	}
-	l.publish(chs)
 }
 
 // publish applies what is newer than the view and tells the subscribers.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"reflect"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
 	_ "lynxledge/internal/seeded"
+	"lynxledge/wire"
 )
 
 // A bind record survives the state service, and stays short.
@@ -71,3 +73,29 @@
 		}
 	})
 }
+
+// An older record of a key that an own commit deleted must not come back with
+// the watch: it bound its tasks to a machine that was gone, and when the
+// deletion followed, they looked unbound though they were bound elsewhere.
+func TestOwnDeleteIsNotUndone(t *testing.T) {
+	l := &Ledger{view: NewView(8), epoch: 8, dead: map[string]uint64{Key(KindBind, "m2"): 11}}
+	task := Bound{Job: "req-000001", Attempt: 1}
+	l.view.Apply(Change{Key: Key(KindBind, "m1"), Kind: KindBind, Name: "m1", Rec: &Bind{Tasks: []Bound{task}, Stamp: 12}, Stamp: 12})
+	old, _ := json.Marshal(&Bind{Tasks: []Bound{task}})
+	l.Subscribe(func(d Delta) {
+		for _, c := range d.Changes {
+			if c.Rec != nil {
+				t.Errorf("%s is back at %d", c.Key, c.Stamp)
+			}
+		}
+	})
+	l.events(&wire.Events{Revision: 12, Events: []wire.Event{
+		{Put: Key(KindBind, "m2"), Value: old, Version: 9}, {Delete: Key(KindBind, "m2"), Version: 11},
+	}}, time.Now())
+	if m := l.view.Bound["req-000001"][0]; m != "m1" {
+		t.Errorf("task is bound to %q", m)
+	}
+	if len(l.dead) > 0 {
+		t.Error("deletions are remembered for ever")
+	}
+}
