One count of waiting tasks, one of zones; drop state that nothing read

The renter and the placer each counted a job's waiting tasks and its zones; View.Waits and place.ZonesOf serve both. The renter kept the machine list, its time and the time of its lead, the front door a stamp that the job holds, the reports actor a context; none was read. Behaviour as before.

--- a/internal/frontdoor/frontdoor.go
+++ b/internal/frontdoor/frontdoor.go
@@ -142,7 +142,6 @@
 type look struct {
 	known  bool
 	status wire.JobStatus
-	stamp  uint64
 	job    *ledger.Job
 }
 
@@ -153,7 +152,7 @@
 			reply(look{})
 			return
 		}
-		l := look{known: true, stamp: j.Stamp, job: j, status: wire.JobStatus{ID: id, State: j.State}}
+		l := look{known: true, job: j, status: wire.JobStatus{ID: id, State: j.State}}
 		switch j.State {
 		case wire.JobDone:
 			l.status.Done = j.Tasks
@@ -372,7 +371,7 @@
 		next.State, next.EndAt = wire.JobCancelled, time.Now().UnixMilli()
 		key := ledger.Key(ledger.KindJob, id)
 		out, ok := f.commit(ctx, ledger.Commit{
-			Guards:   []wire.Guard{{Key: key, Version: l.stamp}},
+			Guards:   []wire.Guard{{Key: key, Version: l.job.Stamp}},
 			Puts:     []ledger.Put{{Key: key, Rec: &next}},
 			Patience: tryAgain,
 		})
--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -145,6 +145,11 @@
 	return n
 }
 
+// Waits is how many tasks of a job are neither done nor bound.
+func (v *View) Waits(id string, j *Job) int {
+	return j.Tasks - v.DoneCount(id) - len(v.Bound[id])
+}
+
 // CurrentTerm is the highest term seen.
 func (v *View) CurrentTerm() uint64 {
 	if v.Term == nil {
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"lynxledge/internal/config"
+	"lynxledge/internal/ledger"
 	"lynxledge/wire"
 )
 
@@ -95,6 +96,15 @@
 // Zones counts a job's tasks by zone, those that are stopping included.
 type Zones map[string]int
 
+// ZonesOf counts a job's bound tasks by zone.
+func ZonesOf(v *ledger.View, job string) Zones {
+	z := Zones{}
+	for _, m := range v.Bound[job] {
+		z[v.Binds[m].Zone]++
+	}
+	return z
+}
+
 // Allows tells whether one more task of the job may be in a zone now.
 func (z Zones) Allows(j *wire.Job, zone string) bool {
 	if j.OneZone {
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -225,14 +225,9 @@
 	return out
 }
 
-// waits is how many tasks of a job are neither done nor bound.
-func (p *Placer) waits(id string, j *ledger.Job) int {
-	return j.Tasks - p.view.DoneCount(id) - len(p.view.Bound[id])
-}
-
 func (p *Placer) anyWaits(mine map[string]*ledger.Hand) bool {
 	for id, j := range p.active {
-		if mine[j.Spec.Team] != nil && p.waits(id, j) > 0 {
+		if mine[j.Spec.Team] != nil && p.view.Waits(id, j) > 0 {
 			return true
 		}
 	}
@@ -258,15 +253,16 @@
 		if mine[j.Spec.Team] == nil {
 			continue
 		}
-		if p.waits(id, j) <= 0 {
+		left := p.view.Waits(id, j)
+		if left <= 0 {
 			continue
 		}
 		if f := p.failed[id]; f != nil && now.Before(f.until) {
 			continue
 		}
 		w := waiting{id: id, job: j, hand: mine[j.Spec.Team].Stamp}
-		run, left := p.runs.RunS(j.Spec), float64(p.waits(id, j))
-		need := run * (1 + left/c.slots(j.Spec))
+		run := p.runs.RunS(j.Spec)
+		need := run * (1 + float64(left)/c.slots(j.Spec))
 		deadlines := p.cfg.Deadlines(j.Spec.Class, j.Spec.DeadlineS)
 		age := float64(now.UnixMilli()-j.At) / 1000
 		for _, d := range deadlines {
@@ -277,7 +273,7 @@
 			w.late++
 		}
 		if w.late == len(deadlines) && !j.Spec.Service() {
-			w.deadline = run * left * j.Spec.CPUs
+			w.deadline = run * float64(left) * j.Spec.CPUs
 		}
 		q = append(q, w)
 	}
@@ -370,7 +366,7 @@
 				}
 				task.Stops = task.Stops || !j.Active()
 				task.Owed = owed[t.Job]
-				task.Last = p.waits(t.Job, j) <= 0
+				task.Last = p.view.Waits(t.Job, j) <= 0
 			}
 			task.Spent = now.Sub(p.since[task.Name]).Seconds()
 			n.Tasks = append(n.Tasks, task)
@@ -443,10 +439,7 @@
 func (p *Placer) placeJob(w waiting, c *cluster, b *batch) bool {
 	spec, team, tally := w.job.Spec, p.team(w.job.Spec.Team), c.tally
 	need := Of(spec)
-	zones := Zones{}
-	for _, m := range p.view.Bound[w.id] {
-		zones[p.view.Binds[m].Zone]++
-	}
+	zones := ZonesOf(p.view, w.id)
 	sample := Sample(c.nodes, p.rng)
 	if f := p.failed[w.id]; f != nil {
 		// Failed work is tried elsewhere, while there is an elsewhere.
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -59,7 +59,6 @@
 	refused map[plan.Pool]time.Time
 
 	term       uint64 // of the leadership that this state belongs to
-	took       time.Time
 	hires      int
 	hiring     map[string]bool
 	closing    map[string]bool
@@ -68,8 +67,6 @@
 	deleted    map[string]time.Time
 	again      bool // a pool ran short: plan again without it
 	listing    bool
-	hosts      map[string]wire.Host
-	listedAt   time.Time
 }
 
 // Start runs the actor; it acts only while this process leads.
@@ -189,10 +186,10 @@
 		return false
 	}
 	if r.term != r.view.Leader.Term {
-		r.term, r.took, r.hires = r.view.Leader.Term, time.Now(), 0
-		r.hosts = nil
+		r.term, r.hires = r.view.Leader.Term, 0
+		now := time.Now()
 		for m := range r.heard { // silence counts from here
-			r.heard[m] = r.took
+			r.heard[m] = now
 		}
 	}
 	return r.epoch >= r.view.Leader.Stamp
@@ -244,7 +241,7 @@
 		Refused: func(p plan.Pool) bool { return now.Before(r.refused[p]) },
 	}
 	for id, j := range r.active {
-		n := j.Tasks - r.view.DoneCount(id) - len(r.view.Bound[id])
+		n := r.view.Waits(id, j)
 		if n <= 0 {
 			continue
 		}
@@ -257,7 +254,7 @@
 			}
 		}
 		in.Demands = append(in.Demands, plan.Demand{
-			Job: j.Spec, Count: r.limited(j, n), RunS: r.runs.RunS(j.Spec), Zones: r.zones(id),
+			Job: j.Spec, Count: r.limited(j, n), RunS: r.runs.RunS(j.Spec), Zones: place.ZonesOf(r.view, id),
 			DeadlineS: due, Overdue: age > overdueTimes*deadlines[len(deadlines)-1],
 		})
 	}
@@ -278,7 +275,7 @@
 				continue
 			}
 			if b.Quiet && j.Active() && j.Spec.Service() { // may have to be replaced
-				zones := r.zones(t.Job)
+				zones := place.ZonesOf(r.view, t.Job)
 				zones[b.Zone]--
 				in.Demands = append(in.Demands, plan.Demand{Job: j.Spec, Count: 1, Zones: zones})
 			}
@@ -450,7 +447,6 @@
 		return
 	}
 	r.listing = true
-	begun := time.Now()
 	go func() {
 		hosts, err := r.cloud.List(r.ctx)
 		r.Send(func() {
@@ -459,20 +455,15 @@
 				slog.Info("machine list not read", "err", err)
 				return
 			}
-			r.hosts = make(map[string]wire.Host, len(hosts))
-			for _, h := range hosts {
-				r.hosts[h.ID] = h
-			}
-			r.listedAt = begun
 			if r.leads() {
-				r.survey()
+				r.survey(hosts)
 			}
 		})
 	}()
 }
 
 // survey adopts unexpected machines and closes failed ones.
-func (r *Renter) survey() {
+func (r *Renter) survey(hosts []wire.Host) {
 	now := time.Now()
 	lag := config.Secs(r.cfg.Params.Cloud.ListLagS)
 	for m, t := range r.deleted {
@@ -481,7 +472,8 @@
 		}
 	}
 	c := ledger.Commit{Guards: []wire.Guard{r.guard()}}
-	for id, h := range r.hosts {
+	for _, h := range hosts {
+		id := h.ID
 		b := r.view.Binds[id]
 		if _, late := r.deleted[id]; b == nil && !late && wire.ValidMachine(id) &&
 			len(r.view.Rents) == 0 && len(r.hiring) == 0 && len(c.Puts) < r.cfg.Params.State.TxnOps {
@@ -580,7 +572,7 @@
 		if j == nil || !j.Active() || !j.Spec.Service() {
 			continue
 		}
-		zones := r.zones(t.Job)
+		zones := place.ZonesOf(r.view, t.Job)
 		zones[r.view.Binds[silent].Zone]--
 		n := place.Pick(j.Spec, zones, place.Offers{}, nodes)
 		if n == nil {
@@ -591,15 +583,6 @@
 	return true
 }
 
-// zones counts a job's bound tasks by zone.
-func (r *Renter) zones(job string) place.Zones {
-	z := place.Zones{}
-	for _, m := range r.view.Bound[job] {
-		z[r.view.Binds[m].Zone]++
-	}
-	return z
-}
-
 // mark asks, through the state service, whether anybody hears these machines.
 func (r *Renter) mark(quiet []string) {
 	if r.marking || len(quiet) == 0 {
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -24,7 +24,6 @@
 // Reports is the actor that hears the workers.
 type Reports struct {
 	*actor.Actor
-	ctx       context.Context
 	cfg       *config.Config
 	ledger    *ledger.Ledger
 	elsewhere func() string // a controller that has state, or ""
@@ -42,7 +41,7 @@
 // Start runs the actor. elsewhere names a controller with a fresh view.
 func Start(ctx context.Context, cfg *config.Config, l *ledger.Ledger, elsewhere func() string) *Reports {
 	r := &Reports{
-		Actor: actor.Start(ctx, "reports", 512), ctx: ctx, cfg: cfg, ledger: l, elsewhere: elsewhere,
+		Actor: actor.Start(ctx, "reports", 512), cfg: cfg, ledger: l, elsewhere: elsewhere,
 		view:    ledger.NewRunningView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
 		pending: map[string]*wire.Report{}, heard: map[string]bool{}, began: map[string]time.Time{},
 		gone: map[string]time.Time{},
