--- /dev/null
+++ b/internal/cloud/catalog.go
@@ -0,0 +1,46 @@
+package cloud
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"lynxledge/internal/actor"
+	"lynxledge/wire"
+)
+
+// Catalog is the actor that keeps the machine types and their prices.
+type Catalog struct {
+	*actor.Actor
+	client *Client
+	subs   []func([]wire.MachineType)
+}
+
+// NewCatalog makes a catalog; Subscribe before Run.
+func NewCatalog(ctx context.Context, c *Client) *Catalog {
+	return &Catalog{Actor: actor.Start(ctx, "catalog", 16), client: c}
+}
+
+// Subscribe registers a receiver of the types.
+func (c *Catalog) Subscribe(f func([]wire.MachineType)) { c.subs = append(c.subs, f) }
+
+// Run reads the types every period, and oftener until it has them.
+func (c *Catalog) Run(ctx context.Context, period, retry time.Duration) {
+	types, err := c.client.Types(ctx)
+	next := period
+	if err != nil || len(types) == 0 {
+		slog.Info("machine types not read", "err", err, "types", len(types))
+		next = retry
+	} else {
+		valid := types[:0]
+		for _, t := range types {
+			if t.Name != "" && t.CPUs > 0 && t.MemoryGB >= 0 && t.Price >= 0 && len(t.Zones) > 0 {
+				valid = append(valid, t)
+			}
+		}
+		for _, f := range c.subs {
+			f(valid)
+		}
+	}
+	c.After(next, func() { go c.Run(ctx, period, retry) })
+}
--- /dev/null
+++ b/internal/cloud/client.go
@@ -0,0 +1,112 @@
+// Package cloud is the client of the cloud that rents machines. It keeps to
+// this controller's part of the cloud's rate.
+package cloud
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"lynxledge/internal/rpc"
+	"lynxledge/wire"
+)
+
+// Errors that callers tell apart; after any other the call may have been, or
+// may yet be, executed.
+var (
+	ErrNoCapacity = errors.New("no capacity")
+	ErrRefused    = errors.New("cloud refused the call")
+	ErrMalformed  = errors.New("cloud calls the request malformed")
+)
+
+// Client talks to the cloud.
+type Client struct {
+	base    string
+	http    *http.Client
+	rate    *rate.Limiter
+	timeout time.Duration
+}
+
+// New makes a client that uses at most share of the rate.
+func New(addr string, rps, share float64, timeout time.Duration) *Client {
+	return &Client{
+		base: "http://" + addr, http: rpc.Client(timeout, 2), timeout: timeout,
+		rate: rate.NewLimiter(rate.Limit(rps*share), max(1, int(rps*share))),
+	}
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	if err := c.rate.Wait(ctx); err != nil {
+		return fmt.Errorf("%w: %v", ErrRefused, err)
+	}
+	status, b, err := rpc.Call(ctx, c.http, c.timeout, method, c.base+path, in)
+	if err != nil {
+		return err
+	}
+	switch status {
+	case http.StatusOK:
+		if out == nil {
+			return nil
+		}
+		return json.Unmarshal(b, out)
+	case http.StatusTooManyRequests:
+		return fmt.Errorf("%w: 429", ErrRefused)
+	case http.StatusServiceUnavailable:
+		var p wire.Problem
+		if json.Unmarshal(b, &p) == nil && p.Error == "no capacity" {
+			return ErrNoCapacity
+		}
+		return fmt.Errorf("%w: 503", ErrRefused)
+	case http.StatusBadRequest:
+		return fmt.Errorf("%w: %.200s", ErrMalformed, b)
+	default:
+		return fmt.Errorf("status %d", status)
+	}
+}
+
+// Types reads the machine types and their prices.
+func (c *Client) Types(ctx context.Context) ([]wire.MachineType, error) {
+	var out wire.MachineTypes
+	err := c.call(ctx, http.MethodGet, "/machine_types", nil, &out)
+	return out.Types, err
+}
+
+// Hire rents machines.
+func (c *Client) Hire(ctx context.Context, r wire.HireRequest) ([]string, error) {
+	var out wire.Machines
+	err := c.call(ctx, http.MethodPost, "/hosts", r, &out)
+	return out.Names, err
+}
+
+// Delete returns machines; once it succeeds, they are gone.
+func (c *Client) Delete(ctx context.Context, names []string) error {
+	return c.call(ctx, http.MethodPost, "/hosts/delete", wire.Machines{Names: names}, nil)
+}
+
+// List reads every machine, page by page.
+func (c *Client) List(ctx context.Context) ([]wire.Host, error) {
+	var all []wire.Host
+	after := ""
+	for {
+		q := url.Values{"most": {strconv.Itoa(wire.MaxListPage)}}
+		if after != "" {
+			q.Set("after", after)
+		}
+		var page wire.HostList
+		if err := c.call(ctx, http.MethodGet, "/hosts?"+q.Encode(), nil, &page); err != nil {
+			return nil, err
+		}
+		all = append(all, page.Hosts...)
+		if !page.More || len(page.Hosts) == 0 {
+			return all, nil
+		}
+		after = page.Hosts[len(page.Hosts)-1].ID
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,231 @@
+// Package config reads the settings file that the platform hands over (TOML)
+// and the operators' own settings (JSON with a schema).
+package config
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"math"
+	"net"
+	"os"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Peer is another controller.
+type Peer struct {
+	Name string `toml:"member"`
+	Zone string `toml:"area"`
+	Addr string `toml:"endpoint"`
+}
+
+// Team is a team's guarantee and limit; 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective repeats one aim.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"`
+}
+
+// Workers holds the workers' times.
+type Workers struct {
+	ReportS float64 `toml:"report_s"`
+	LeaseS  float64 `toml:"lease_s"`
+	CancelS float64 `toml:"cancel_s"`
+}
+
+// State holds the limits of the state service.
+type State struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Cloud holds the limits of the cloud.
+type Cloud struct {
+	RPS      float64 `toml:"rps"`
+	ListLagS float64 `toml:"list_lag_s"`
+}
+
+// Resources is what this process may use.
+type Resources struct {
+	CPU      float64 `toml:"cpu"`
+	MemoryMB float64 `toml:"memory_mb"`
+	FDLimit  int     `toml:"fd_limit"`
+}
+
+// Params describes the deployment.
+type Params struct {
+	Size       int         `toml:"size"`
+	Zones      []string    `toml:"zones"`
+	SkewMS     float64     `toml:"skew_ms"`
+	Teams      []Team      `toml:"teams"`
+	Objectives []Objective `toml:"objectives"`
+	Workers    Workers     `toml:"workers"`
+	State      State       `toml:"state"`
+	Cloud      Cloud       `toml:"cloud"`
+	Resources  Resources   `toml:"resources"`
+}
+
+// Config is everything a controller is told at its start.
+type Config struct {
+	Name     string `toml:"member"`
+	Zone     string `toml:"area"`
+	Listen   string `toml:"client_listen"`
+	MeshAddr string `toml:"mesh_addr"`
+	Peers    []Peer `toml:"others"`
+	External struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"external"`
+	Params Params `toml:"params"`
+
+	// Ops are the operators' own settings.
+	Ops Ops `toml:"-"`
+}
+
+// Load reads the platform's file and, when opsPath is not empty, the
+// operators' own.
+func Load(path, opsPath string) (*Config, error) {
+	b, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, fmt.Errorf("settings file %s does not exist", path)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("settings file: %w", err)
+	}
+	c, err := Parse(string(b))
+	if err != nil {
+		return nil, fmt.Errorf("settings file %s: %w", path, err)
+	}
+	if opsPath != "" {
+		if c.Ops, err = loadOps(opsPath); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// Parse reads and checks the platform's settings, with default Ops.
+func Parse(text string) (*Config, error) {
+	c := &Config{Ops: DefaultOps()}
+	if _, err := toml.Decode(text, c); err != nil {
+		return nil, err
+	}
+	return c, c.check()
+}
+
+func (c *Config) check() error {
+	if c.Name == "" {
+		return errors.New("member is missing")
+	}
+	for _, a := range []struct{ field, addr string }{
+		{"client_listen", c.Listen}, {"mesh_addr", c.MeshAddr},
+		{"external.cloud", c.External.Cloud}, {"external.state", c.External.State},
+	} {
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return fmt.Errorf("%s: %q is not host:port", a.field, a.addr)
+		}
+	}
+	seen := map[string]bool{c.Name: true}
+	for i, p := range c.Peers {
+		if p.Name == "" || seen[p.Name] {
+			return fmt.Errorf("others[%d].member: %q is empty or named twice", i, p.Name)
+		}
+		seen[p.Name] = true
+		if _, _, err := net.SplitHostPort(p.Addr); err != nil {
+			return fmt.Errorf("others[%d].endpoint: %q is not host:port", i, p.Addr)
+		}
+	}
+	p := &c.Params
+	for _, f := range []struct {
+		field string
+		v     float64
+	}{
+		{"params.workers.report_s", p.Workers.ReportS},
+		{"params.workers.lease_s", p.Workers.LeaseS},
+		{"params.workers.cancel_s", p.Workers.CancelS},
+		{"params.state.rps", p.State.RPS},
+		{"params.state.write_rps", p.State.WriteRPS},
+		{"params.state.value_kb", p.State.ValueKB},
+		{"params.state.txn_ops", float64(p.State.TxnOps)},
+		{"params.cloud.rps", p.Cloud.RPS},
+		{"params.cloud.list_lag_s", p.Cloud.ListLagS},
+		{"params.resources.cpu", p.Resources.CPU},
+		{"params.resources.memory_mb", p.Resources.MemoryMB},
+	} {
+		if !(f.v > 0) || math.IsInf(f.v, 0) {
+			return fmt.Errorf("%s must be more than 0", f.field)
+		}
+	}
+	if p.State.TxnOps < minTxnOps {
+		return fmt.Errorf("params.state.txn_ops must be at least %d", minTxnOps)
+	}
+	if p.Workers.LeaseS <= p.Workers.ReportS {
+		return errors.New("params.workers.lease_s must be longer than report_s")
+	}
+	// A worker that was last answered just before its node learnt of a
+	// cancellation keeps its tasks for lease_s more.
+	if p.Workers.CancelS <= p.Workers.LeaseS+2*p.Workers.ReportS {
+		return errors.New("params.workers.cancel_s must be longer than lease_s by more than two report_s: cancellations could not be kept")
+	}
+	names := map[string]bool{}
+	for i, t := range p.Teams {
+		if t.Name == "" || names[t.Name] {
+			return fmt.Errorf("params.teams[%d].name: %q is empty or named twice", i, t.Name)
+		}
+		names[t.Name] = true
+		if t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0 {
+			return fmt.Errorf("params.teams[%d]: an amount is negative", i)
+		}
+	}
+	if len(p.Teams) == 0 {
+		return errors.New("params.teams is empty")
+	}
+	return nil
+}
+
+// minTxnOps is the largest atomic change the ledger needs: a machine's
+// record, a task's done set, the job and one spare.
+const minTxnOps = 4
+
+// Team finds a team by name.
+func (p *Params) Team(name string) (Team, bool) {
+	for _, t := range p.Teams {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Team{}, false
+}
+
+// DefaultDeadline is the time a job of a class without a deadline is given:
+// the earliest aim stated for its class, or the operators' default.
+func (c *Config) DefaultDeadline(class string) float64 {
+	d := math.Inf(1)
+	for _, o := range c.Params.Objectives {
+		if o.Kind == "finished" && o.Class == class && o.WithinS > 0 {
+			d = math.Min(d, o.WithinS)
+		}
+	}
+	if math.IsInf(d, 1) {
+		return c.Ops.DefaultDeadlineS
+	}
+	return d
+}
+
+// Secs turns seconds into a Duration.
+func Secs(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/frontdoor/frontdoor.go
@@ -0,0 +1,422 @@
+// Package frontdoor answers users, health checks and workers over HTTP.
+package frontdoor
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"lynxledge/internal/actor"
+	"lynxledge/internal/config"
+	"lynxledge/internal/ledger"
+	"lynxledge/internal/place"
+	"lynxledge/internal/reports"
+	"lynxledge/wire"
+)
+
+// Times that bound an answer. The protocol gives submissions 5 s and polls 2.
+const (
+	answerWait = 1500 * time.Millisecond
+	tryAgain   = 400 * time.Millisecond // for refusals of the state service
+)
+
+// Peer asks another controller for a job's state.
+type Peer interface {
+	Status(ctx context.Context, id string) (*wire.JobStatus, bool, error)
+}
+
+// Front is the actor that knows the jobs as users see them.
+type Front struct {
+	*actor.Actor
+	cfg     *config.Config
+	ledger  *ledger.Ledger
+	reports *reports.Reports
+	peer    Peer
+
+	view  *ledger.View
+	fresh time.Time
+	types []wire.MachineType
+}
+
+// Start runs the actor. peer may be nil.
+func Start(ctx context.Context, cfg *config.Config, l *ledger.Ledger, r *reports.Reports, peer Peer) *Front {
+	f := &Front{
+		Actor: actor.Start(ctx, "frontdoor", 512), cfg: cfg, ledger: l, reports: r, peer: peer,
+		view: ledger.NewView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
+	}
+	l.Subscribe(func(d ledger.Delta) {
+		f.Send(func() {
+			f.fresh = d.Fresh
+			for _, c := range d.Changes {
+				f.view.Apply(c)
+			}
+		})
+	})
+	return f
+}
+
+// SetTypes tells the front of the machine types.
+func (f *Front) SetTypes(types []wire.MachineType) { f.Send(func() { f.types = types }) }
+
+// Handler routes requests.
+func (f *Front) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Post("/work", f.submit)
+	r.Get("/work/{id}", f.poll)
+	r.Post("/work/{id}/abort", f.abort)
+	r.Get("/ready", f.ready)
+	r.Post("/hello", f.hello)
+	return r
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		status, b = http.StatusInternalServerError, nil
+	}
+	h := w.Header()
+	h["Content-Type"] = []string{"application/json"}
+	h["Content-Length"] = []string{strconv.Itoa(len(b))}
+	w.WriteHeader(status)
+	_, _ = w.Write(b)
+}
+
+func refuse(w http.ResponseWriter, status int, why string) {
+	answer(w, status, wire.Problem{Error: why})
+}
+
+// later refuses what can't be taken now and says when to come back.
+func later(w http.ResponseWriter, why string) {
+	w.Header().Set("Retry-After", "1")
+	refuse(w, http.StatusServiceUnavailable, why)
+}
+
+// body reads a request's body; false when it was answered already.
+func body(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "body unreadable or over 64 KiB")
+		return nil, false
+	}
+	return b, true
+}
+
+var errNoState = errors.New("state service not reachable")
+
+// barrier waits until the view holds everything committed before the call.
+func (f *Front) barrier(ctx context.Context) error {
+	ch := make(chan error, 1)
+	f.ledger.Refresh(func(err error) {
+		if err != nil {
+			ch <- err
+			return
+		}
+		if !f.Post(func() { ch <- nil }) { // behind the delta in our mailbox
+			ch <- errNoState
+		}
+	})
+	select {
+	case err := <-ch:
+		return err
+	case <-ctx.Done():
+		return errNoState
+	}
+}
+
+// look is what the view says of a job.
+type look struct {
+	known  bool
+	status wire.JobStatus
+	stamp  uint64
+	job    *ledger.Job
+}
+
+func (f *Front) look(id string) (look, bool) {
+	return actor.Ask(f.Actor, func(reply func(look)) {
+		j := f.view.Jobs[id]
+		if j == nil {
+			reply(look{})
+			return
+		}
+		l := look{known: true, stamp: j.Stamp, job: j, status: wire.JobStatus{ID: id, State: j.State}}
+		switch j.State {
+		case wire.JobDone:
+			l.status.Done = j.Tasks
+		case wire.JobCancelled:
+		default:
+			l.status.Done, l.status.Running = f.view.DoneCount(id), len(f.view.Bound[id])
+			l.status.State = wire.JobQueued
+			if l.status.Running > 0 {
+				l.status.State = wire.JobRunning
+			}
+		}
+		reply(l)
+	})
+}
+
+// current is a job's state no older than the call: a final one from memory,
+// any other after a read of the state service.
+func (f *Front) current(ctx context.Context, id string) (look, error) {
+	l, ok := f.look(id)
+	if ok && l.known && !l.job.Active() {
+		return l, nil
+	}
+	if err := f.barrier(ctx); err != nil {
+		return look{}, err
+	}
+	if l, ok = f.look(id); !ok {
+		return look{}, errNoState
+	}
+	return l, nil
+}
+
+func (f *Front) poll(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "id")
+	if !wire.ValidJobID(id) {
+		refuse(w, http.StatusNotFound, "no such job")
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), answerWait)
+	defer cancel()
+	l, err := f.current(ctx, id)
+	if err != nil && f.peer != nil {
+		var s *wire.JobStatus
+		if s, l.known, err = f.peer.Status(ctx, id); s != nil {
+			l.status = *s
+		}
+	}
+	switch {
+	case err != nil:
+		later(w, errNoState.Error())
+	case !l.known:
+		refuse(w, http.StatusNotFound, "no such job")
+	default:
+		answer(w, http.StatusOK, l.status)
+	}
+}
+
+// Status answers another controller's question; an error when this one can't
+// tell either.
+func (f *Front) Status(ctx context.Context, id string) (*wire.JobStatus, bool, error) {
+	l, err := f.current(ctx, id)
+	if err != nil || !l.known {
+		return nil, false, err
+	}
+	return &l.status, true, nil
+}
+
+func (f *Front) submit(w http.ResponseWriter, r *http.Request) {
+	b, ok := body(w, r)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), answerWait)
+	defer cancel()
+	job, perr := wire.ParseJob(b)
+	id, valid := wire.PeekID(b)
+	if perr != nil && !valid {
+		refuse(w, http.StatusBadRequest, perr.Error())
+		return
+	}
+	if l, ok := f.look(id); ok && l.known {
+		f.known(ctx, w, id)
+		return
+	}
+	status, why := http.StatusBadRequest, ""
+	if perr != nil {
+		why = perr.Error()
+	} else {
+		status, why = f.judge(job)
+	}
+	switch {
+	case status == http.StatusServiceUnavailable:
+		later(w, why)
+		return
+	case why != "":
+		// A job that was accepted is never refused later, whatever its repeat
+		// says: only a read of the state can tell.
+		l, err := f.current(ctx, id)
+		switch {
+		case err != nil:
+			later(w, errNoState.Error())
+		case l.known:
+			answer(w, http.StatusOK, l.status)
+		default:
+			refuse(w, status, why)
+		}
+		return
+	}
+	f.accept(ctx, w, job)
+}
+
+func (f *Front) known(ctx context.Context, w http.ResponseWriter, id string) {
+	l, err := f.current(ctx, id)
+	if err != nil || !l.known {
+		later(w, errNoState.Error())
+		return
+	}
+	answer(w, http.StatusOK, l.status)
+}
+
+// judge tells why a job can never run, or can't be judged yet.
+func (f *Front) judge(j *wire.Job) (int, string) {
+	team, ok := f.cfg.Params.Team(j.Team)
+	if !ok {
+		return http.StatusUnprocessableEntity, "unknown team " + strconv.Quote(j.Team)
+	}
+	types, ok := actor.Ask(f.Actor, func(reply func([]wire.MachineType)) { reply(f.types) })
+	if !ok || len(types) == 0 {
+		return http.StatusServiceUnavailable, "machine types not known yet"
+	}
+	if !Fits(j, types) {
+		return http.StatusUnprocessableEntity, "a task fits no allowed machine type"
+	}
+	n := 1.0
+	if j.Service() {
+		n = float64(j.Tasks)
+	}
+	if !(place.Tally{}).WithinLimit(team, place.Res{}.Plus(place.Of(j), n)) {
+		return http.StatusUnprocessableEntity, "needs more than the team's limit"
+	}
+	return 0, ""
+}
+
+// Fits tells whether a task of the job fits a type it may use.
+func Fits(j *wire.Job, types []wire.MachineType) bool {
+	for i := range types {
+		t := &types[i]
+		for _, z := range t.Zones {
+			if place.Allowed(j, t.Name, z, false) && place.Of(j).Fits(place.Capacity(t)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (f *Front) accept(ctx context.Context, w http.ResponseWriter, j *wire.Job) {
+	key := ledger.Key(ledger.KindJob, j.ID)
+	out, ok := f.commit(ctx, ledger.Commit{
+		Guards:   []wire.Guard{{Key: key}},
+		Puts:     []ledger.Put{{Key: key, Rec: &ledger.Job{Spec: j, Tasks: j.Tasks, At: time.Now().UnixMilli()}}},
+		Patience: tryAgain,
+	})
+	switch {
+	case ok && out == ledger.Committed:
+		slog.Debug("job accepted", "job", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks)
+		answer(w, http.StatusCreated, wire.JobStatus{ID: j.ID, State: wire.JobQueued})
+	case ok && out == ledger.Conflicted:
+		f.known(ctx, w, j.ID)
+	default:
+		later(w, errNoState.Error())
+	}
+}
+
+// commit makes a change on behalf of a waiting user.
+func (f *Front) commit(ctx context.Context, c ledger.Commit) (ledger.Outcome, bool) {
+	ch := make(chan ledger.Outcome, 1)
+	f.ledger.Commit(c, func(out ledger.Outcome) { ch <- out })
+	select {
+	case out := <-ch:
+		return out, true
+	case <-ctx.Done():
+		return ledger.Unknown, false
+	}
+}
+
+func (f *Front) abort(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "id")
+	if !wire.ValidJobID(id) {
+		refuse(w, http.StatusNotFound, "no such job")
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), answerWait)
+	defer cancel()
+	for range 4 { // a job's record changes only when it ends
+		l, ok := f.look(id)
+		if !ok {
+			break
+		}
+		if !l.known {
+			var err error
+			if l, err = f.current(ctx, id); err != nil {
+				break
+			}
+			if !l.known {
+				refuse(w, http.StatusNotFound, "no such job")
+				return
+			}
+		}
+		if !l.job.Active() {
+			answer(w, http.StatusOK, l.status)
+			return
+		}
+		next := *l.job
+		next.State, next.EndAt = wire.JobCancelled, time.Now().UnixMilli()
+		key := ledger.Key(ledger.KindJob, id)
+		out, ok := f.commit(ctx, ledger.Commit{
+			Guards:   []wire.Guard{{Key: key, Version: l.stamp}},
+			Puts:     []ledger.Put{{Key: key, Rec: &next}},
+			Patience: tryAgain,
+		})
+		if ok && out == ledger.Committed {
+			slog.Debug("job cancelled", "job", id)
+			answer(w, http.StatusOK, wire.JobStatus{ID: id, State: wire.JobCancelled})
+			return
+		}
+		if !ok || out != ledger.Conflicted {
+			break
+		}
+	}
+	later(w, errNoState.Error())
+}
+
+// ready answers 200 while the view is fresh enough to serve users.
+func (f *Front) ready(w http.ResponseWriter, _ *http.Request) {
+	age, ok := actor.Ask(f.Actor, func(reply func(float64)) {
+		if len(f.types) == 0 || f.fresh.IsZero() {
+			reply(math.Inf(1))
+			return
+		}
+		reply(time.Since(f.fresh).Seconds())
+	})
+	if !ok || age > f.cfg.Params.Workers.ReportS {
+		later(w, "not ready")
+		return
+	}
+	answer(w, http.StatusOK, struct{}{})
+}
+
+func (f *Front) hello(w http.ResponseWriter, r *http.Request) {
+	b, ok := body(w, r)
+	if !ok {
+		return
+	}
+	var rep wire.Report
+	err := wire.Decode(b, &rep)
+	if err == nil {
+		err = rep.Check()
+	}
+	if err != nil {
+		slog.Warn("report refused", "err", err)
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	out, ok := actor.Ask(f.reports.Actor, func(reply func(reports.Reply)) { f.reports.Report(&rep, reply) })
+	switch {
+	case ok && out.Accept:
+		answer(w, http.StatusOK, out.Body)
+	case ok && out.ReportTo != "":
+		answer(w, http.StatusMisdirectedRequest, wire.Redirect{ReportTo: out.ReportTo})
+	default:
+		later(w, "not entitled to answer")
+	}
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,401 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"lynxledge/internal/actor"
+	"lynxledge/internal/state"
+	"lynxledge/wire"
+)
+
+// Store is what the ledger needs of the state service.
+type Store interface {
+	List(ctx context.Context, prefix, after string, limit int) (*wire.Items, error)
+	Commit(ctx context.Context, txn *wire.Txn) (uint64, error)
+	Follow(ctx context.Context, prefix string, after uint64, hold time.Duration) (*wire.Events, error)
+}
+
+// Delta tells a subscriber what changed. Fresh is the start of the newest
+// read that the view reflects in full.
+type Delta struct {
+	Epoch   uint64
+	Fresh   time.Time
+	Changes []Change
+}
+
+// Options set the ledger's pace.
+type Options struct {
+	ChunkTasks int
+	Hold       time.Duration // of the long watch
+	Gap        time.Duration // least time between two watches: batches changes
+	Refresh    time.Duration // least time between two refreshes
+	MaxAge     time.Duration // a view older than this is refreshed unasked
+	Backoff    time.Duration // first pause after a failure
+}
+
+// Ledger is the actor that owns the watched view.
+type Ledger struct {
+	*actor.Actor
+	ctx   context.Context
+	store Store
+	opt   Options
+
+	view   *View
+	epoch  uint64
+	fresh  time.Time
+	loaded bool
+	dead   map[string]uint64 // keys deleted by own commits, until the watch passes them
+	subs   []func(Delta)
+
+	waiters    []func(error) // of the next refresh
+	refreshing bool
+	lastRefr   time.Time
+}
+
+// Start runs a ledger. Subscribers must be added before Run.
+func Start(ctx context.Context, store Store, opt Options) *Ledger {
+	return &Ledger{
+		Actor: actor.Start(ctx, "ledger", 1024), ctx: ctx, store: store, opt: opt,
+		view: NewView(opt.ChunkTasks), dead: map[string]uint64{},
+	}
+}
+
+// Subscribe registers a receiver of deltas; it must not wait for the ledger.
+func (l *Ledger) Subscribe(f func(Delta)) { l.subs = append(l.subs, f) }
+
+// Run loads the view and follows it until the context ends.
+func (l *Ledger) Run() {
+	go l.follow()
+	l.Every(l.opt.MaxAge/2, func() {
+		if l.loaded && time.Since(l.fresh) > l.opt.MaxAge/2 {
+			l.refresh(func(error) {})
+		}
+	})
+}
+
+func (l *Ledger) pause(n int) {
+	d := l.opt.Backoff << min(n, 5)
+	d += time.Duration(rand.Int64N(int64(d)))
+	select {
+	case <-time.After(d):
+	case <-l.ctx.Done():
+	}
+}
+
+// follow keeps one long watch open.
+func (l *Ledger) follow() {
+	fails, load := 0, true
+	for l.ctx.Err() == nil {
+		if load {
+			if err := l.load(); err != nil {
+				slog.Debug("state not loaded", "err", err)
+				l.pause(fails)
+				fails++
+				continue
+			}
+			load, fails = false, 0
+		}
+		epoch, ok := actor.Ask(l.Actor, func(reply func(uint64)) { reply(l.epoch) })
+		if !ok {
+			l.pause(0)
+			continue
+		}
+		begun := time.Now()
+		ev, err := l.store.Follow(l.ctx, Root, epoch, l.opt.Hold)
+		switch {
+		case errors.Is(err, state.ErrTooOld):
+			slog.Info("watch fell behind; reading everything again", "epoch", epoch)
+			load = true
+		case err != nil:
+			slog.Debug("watch failed", "err", err)
+			l.pause(fails)
+			fails++
+		default:
+			fails = 0
+			l.Send(func() { l.events(ev, begun) })
+			if wait := l.opt.Gap - time.Since(begun); wait > 0 {
+				time.Sleep(wait)
+			}
+		}
+	}
+}
+
+// load lists every key. Changes made meanwhile are replayed by the watch,
+// which begins at the first page's revision.
+func (l *Ledger) load() error {
+	begun := time.Now()
+	var items []wire.Item
+	var first uint64
+	after := ""
+	for {
+		page, err := l.store.List(l.ctx, Root, after, 1000)
+		if err != nil {
+			return err
+		}
+		if first == 0 {
+			first = page.Revision
+		}
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			break
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+	l.Send(func() {
+		seen := make(map[string]bool, len(items))
+		var chs []Change
+		for _, it := range items {
+			seen[it.Key] = true
+			if c, ok := l.change(it.Key, it.Value, it.Version); ok {
+				chs = append(chs, c)
+			}
+		}
+		for _, c := range l.view.changes() {
+			if !seen[c.Key] && c.Stamp <= first {
+				chs = append(chs, Change{Key: c.Key, Kind: c.Kind, Name: c.Name, Stamp: first})
+			}
+		}
+		l.loaded = true
+		l.epoch = max(l.epoch, first)
+		l.fresh = begun
+		l.publish(chs)
+		slog.Info("state loaded", "keys", len(items), "epoch", first)
+	})
+	return nil
+}
+
+// change decodes a key's record; keys that make no sense are logged and left.
+func (l *Ledger) change(key string, raw json.RawMessage, stamp uint64) (Change, bool) {
+	kind, name, ok := split(key)
+	if !ok {
+		return Change{}, false
+	}
+	c := Change{Key: key, Kind: kind, Name: name, Stamp: stamp}
+	if raw == nil {
+		return c, true
+	}
+	rec, err := decode(kind, raw, stamp)
+	if err != nil {
+		slog.Error("record not understood", "key", key, "err", err)
+		return Change{}, false
+	}
+	c.Rec = rec
+	return c, true
+}
+
+// events takes a watch's answer over. It carries every change after the
+// revision asked for, so what lies at or below the view's epoch is known.
+func (l *Ledger) events(ev *wire.Events, begun time.Time) {
+	var chs []Change
+	for _, e := range ev.Events {
+		if e.Version <= l.epoch {
+			continue
+		}
+		key, raw := e.Put, e.Value
+		if key == "" {
+			key, raw = e.Delete, nil
+		}
+		if c, ok := l.change(key, raw, e.Version); ok {
+			chs = append(chs, c)
+		}
+	}
+	l.epoch = max(l.epoch, ev.Revision)
+	if begun.After(l.fresh) {
+		l.fresh = begun
+	}
+	for k, s := range l.dead {
+		if s <= l.epoch {
+			delete(l.dead, k)
+		}
+	}
+	l.publish(chs)
+}
+
+// publish applies what is newer than the view and tells the subscribers.
+func (l *Ledger) publish(chs []Change) {
+	news := chs[:0]
+	for _, c := range chs {
+		if c.Stamp < l.view.stamp(c.Kind, c.Name) || c.Stamp < l.dead[c.Key] {
+			continue
+		}
+		l.view.Apply(c)
+		news = append(news, c)
+	}
+	d := Delta{Epoch: l.epoch, Fresh: l.fresh, Changes: news}
+	for _, f := range l.subs {
+		f(d)
+	}
+}
+
+// Refresh reads all changes up to now; reply runs in the ledger's actor once
+// a read begun after this call has been applied, or has failed. Requests that
+// come together share a read.
+func (l *Ledger) Refresh(reply func(error)) {
+	if !l.Post(func() { l.refresh(reply) }) {
+		reply(errors.New("ledger is overloaded"))
+	}
+}
+
+func (l *Ledger) refresh(reply func(error)) {
+	if !l.loaded {
+		reply(errors.New("state not loaded yet"))
+		return
+	}
+	l.waiters = append(l.waiters, reply)
+	l.startRefresh()
+}
+
+func (l *Ledger) startRefresh() {
+	if l.refreshing || len(l.waiters) == 0 {
+		return
+	}
+	l.refreshing = true
+	wait := max(0, l.opt.Refresh-time.Since(l.lastRefr))
+	l.After(wait, func() {
+		waiters := l.waiters
+		l.waiters = nil
+		l.lastRefr = time.Now()
+		begun, epoch := l.lastRefr, l.epoch
+		go func() {
+			ev, err := l.store.Follow(l.ctx, Root, epoch, 0)
+			l.Send(func() {
+				l.refreshing = false
+				if err == nil {
+					l.events(ev, begun)
+				}
+				for _, w := range waiters {
+					w(err)
+				}
+				l.startRefresh()
+			})
+		}()
+	})
+}
+
+// Outcome of a commit.
+type Outcome int
+
+// Outcomes. Committed and Conflicted are certain, and the view has caught up
+// with them. Refused is certain too: nothing was changed. Unknown: the change
+// may have been made, or may be yet.
+const (
+	Committed Outcome = iota
+	Conflicted
+	Refused
+	Unknown
+)
+
+// Commit is a change to make.
+type Commit struct {
+	Guards []wire.Guard
+	Puts   []Put
+	Delete []string
+	// Settle repeats the same transaction until the outcome is certain. Since
+	// its writes change what it guards, an answered repeat means that no
+	// earlier copy can be applied any more.
+	Settle bool
+	// Patience is how long refusals are tried again.
+	Patience time.Duration
+}
+
+// Put sets a key. Rec is the record that Value encodes.
+type Put struct {
+	Key   string
+	Rec   any
+	Lease uint64
+}
+
+// Ops is the number of writes.
+func (c *Commit) Ops() int { return len(c.Puts) + len(c.Delete) }
+
+// Commit makes the change and replies from the ledger's actor, after the
+// subscribers were told of it.
+func (l *Ledger) Commit(c Commit, reply func(Outcome)) {
+	txn := &wire.Txn{Guards: c.Guards}
+	for _, p := range c.Puts {
+		raw, err := json.Marshal(p.Rec)
+		if err != nil {
+			slog.Error("record not encoded", "key", p.Key, "err", err)
+			l.Send(func() { reply(Refused) })
+			return
+		}
+		txn.Writes = append(txn.Writes, wire.Write{Put: p.Key, Value: raw, Lease: p.Lease})
+	}
+	for _, k := range c.Delete {
+		txn.Writes = append(txn.Writes, wire.Write{Delete: k})
+	}
+	go l.commit(c, txn, reply)
+}
+
+func (l *Ledger) commit(c Commit, txn *wire.Txn, reply func(Outcome)) {
+	deadline := time.Now().Add(c.Patience)
+	unknown := false
+	for n := 0; ; n++ {
+		rev, err := l.store.Commit(l.ctx, txn)
+		var conflict *state.Conflict
+		switch {
+		case err == nil:
+			l.Send(func() {
+				l.committed(txn, rev)
+				reply(Committed)
+			})
+			return
+		case errors.As(err, &conflict):
+			slog.Debug("guards failed", "keys", conflict.Failed)
+			l.Send(func() { l.catchUp(conflict.Revision, func() { reply(Conflicted) }) })
+			return
+		case errors.Is(err, state.ErrNoLease), errors.Is(err, state.ErrInvalid):
+			if errors.Is(err, state.ErrInvalid) {
+				slog.Error("commit refused", "err", err, "writes", len(txn.Writes))
+			}
+			l.Send(func() { reply(Refused) })
+			return
+		case errors.Is(err, state.ErrRefused):
+		default:
+			slog.Debug("commit unanswered", "err", err)
+			unknown = true
+		}
+		if l.ctx.Err() != nil {
+			return
+		}
+		if !(unknown && c.Settle) && time.Now().After(deadline) {
+			out := Refused
+			if unknown {
+				out = Unknown
+			}
+			l.Send(func() { reply(out) })
+			return
+		}
+		l.pause(n)
+	}
+}
+
+// committed takes an own commit over at once; the watch will repeat it.
+func (l *Ledger) committed(txn *wire.Txn, rev uint64) {
+	var chs []Change
+	for _, w := range txn.Writes {
+		c, ok := l.change(w.Key(), w.Value, rev)
+		if !ok {
+			continue
+		}
+		if w.Put == "" {
+			l.dead[c.Key] = rev
+		}
+		chs = append(chs, c)
+	}
+	l.publish(chs)
+}
+
+// catchUp runs f once the view has reached a revision, or cannot for now.
+func (l *Ledger) catchUp(rev uint64, f func()) {
+	if l.epoch >= rev || !l.loaded {
+		f()
+		return
+	}
+	l.refresh(func(error) { f() })
+}
--- /dev/null
+++ b/internal/ledger/records.go
@@ -0,0 +1,285 @@
+// Package ledger keeps a watched view of everything the controllers hold in
+// the state service, and commits guarded changes to it.
+package ledger
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"math/bits"
+	"strconv"
+	"strings"
+
+	"lynxledge/wire"
+)
+
+// Root is the prefix of every key.
+const Root = "lx/"
+
+// Kinds of keys, the part behind Root.
+const (
+	KindJob    = "job"
+	KindDone   = "done"
+	KindBind   = "bind"
+	KindHand   = "hand"
+	KindMember = "member"
+	KindRent   = "rent"
+	KindLeader = "leader"
+	KindTerm   = "term"
+)
+
+// Key makes a key of a kind and a name.
+func Key(kind, name string) string { return Root + kind + "/" + name }
+
+// Keys without a name.
+const (
+	LeaderKey = Root + KindLeader
+	TermKey   = Root + KindTerm
+)
+
+// DoneKey names a chunk of a job's done set.
+func DoneKey(job string, chunk int) string {
+	return fmt.Sprintf("%s%s/%s/%04d", Root, KindDone, job, chunk)
+}
+
+// Job is an accepted job. It is rewritten only when it ends.
+type Job struct {
+	Spec  *wire.Job `json:"spec,omitempty"` // nil once done
+	State string    `json:"state,omitempty"`
+	Tasks int       `json:"n"`
+	At    int64     `json:"at"`            // time of day of the acceptance, ms
+	EndAt int64     `json:"end,omitempty"` // time of day of the end, ms
+	Stamp uint64    `json:"-"`
+}
+
+// Active tells whether tasks of the job may be started.
+func (j *Job) Active() bool { return j.State == "" }
+
+// Bound is one task bound to a machine.
+type Bound struct {
+	Job     string
+	N       int
+	Attempt uint64
+	// Stop is the token of the record that first ordered the task stopped; 0
+	// while it is to run. No launch of this attempt carries Stop or more.
+	Stop uint64
+	// Grace is the time given for saving, in seconds.
+	Grace int
+}
+
+// Name is the task's name.
+func (b *Bound) Name() string { return wire.TaskName(b.Job, b.N) }
+
+// MarshalJSON keeps records short: a machine may hold many tasks.
+func (b Bound) MarshalJSON() ([]byte, error) {
+	if b.Stop == 0 {
+		return json.Marshal([]any{b.Name(), b.Attempt})
+	}
+	return json.Marshal([]any{b.Name(), b.Attempt, b.Stop, b.Grace})
+}
+
+// UnmarshalJSON reads what MarshalJSON wrote.
+func (b *Bound) UnmarshalJSON(p []byte) error {
+	var name string
+	if err := json.Unmarshal(p, &[]any{&name, &b.Attempt, &b.Stop, &b.Grace}); err != nil {
+		return err
+	}
+	var ok bool
+	if b.Job, b.N, ok = wire.SplitTask(name); !ok {
+		return fmt.Errorf("task name %q", name)
+	}
+	return nil
+}
+
+// Gone tells why a task left a machine with the write that carries it.
+type Gone struct {
+	Task string  `json:"t"`
+	Why  string  `json:"w"`
+	RanS float64 `json:"s,omitempty"`
+}
+
+// Why a task left its machine, besides the workers' own reasons.
+const (
+	WhySession = "session_lost"
+	WhyMachine = "machine_gone"
+	WhyNever   = "never_started"
+)
+
+// Bind is the record of one machine and of all that is bound to it.
+type Bind struct {
+	Type    string  `json:"type"`
+	Zone    string  `json:"zone"`
+	Spot    bool    `json:"spot,omitempty"`
+	Addr    string  `json:"addr,omitempty"`
+	Session uint64  `json:"session,omitempty"` // 0: never reported
+	Token   uint64  `json:"token"`
+	Tasks   []Bound `json:"tasks,omitempty"`
+	Gone    []Gone  `json:"gone,omitempty"`
+	Drain   string  `json:"drain,omitempty"` // why nothing new may be bound
+	Closed  bool    `json:"closed,omitempty"`
+	At      int64   `json:"at"` // time of day of the rental, ms
+	Stamp   uint64  `json:"-"`
+}
+
+// Open tells whether tasks may be bound to the machine.
+func (b *Bind) Open() bool { return b.Session > 0 && b.Drain == "" && !b.Closed }
+
+// Find returns the bound task of this name, or nil.
+func (b *Bind) Find(job string, n int) *Bound {
+	for i := range b.Tasks {
+		if t := &b.Tasks[i]; t.N == n && t.Job == job {
+			return t
+		}
+	}
+	return nil
+}
+
+// Next copies the record for a rewrite: a higher token, nothing gone yet.
+func (b *Bind) Next(term uint64) *Bind {
+	n := *b
+	n.Tasks = append([]Bound(nil), b.Tasks...)
+	n.Gone = nil
+	n.Token = max(b.Token+1, Token(term))
+	return &n
+}
+
+// Token is the lowest token of a term; generations count up from it.
+func Token(term uint64) uint64 { return term << 32 }
+
+// Hand names the controller that places a team's tasks.
+type Hand struct {
+	Member string `json:"member"`
+	Boot   uint64 `json:"boot"`
+	Stamp  uint64 `json:"-"`
+}
+
+// Member is a live controller; the key hangs on its lease.
+type Member struct {
+	Boot  uint64 `json:"boot"`
+	Stamp uint64 `json:"-"`
+}
+
+// Leader is the leading controller; the key hangs on its lease.
+type Leader struct {
+	Member string `json:"member"`
+	Boot   uint64 `json:"boot"`
+	Term   uint64 `json:"term"`
+	Stamp  uint64 `json:"-"`
+}
+
+// Term is the highest term ever used.
+type Term struct {
+	Term  uint64 `json:"term"`
+	Stamp uint64 `json:"-"`
+}
+
+// Rent is the intent to rent machines, stored before the call.
+type Rent struct {
+	Type  string `json:"type"`
+	Zone  string `json:"zone"`
+	Spot  bool   `json:"spot,omitempty"`
+	Count int    `json:"count"`
+	At    int64  `json:"at"`
+	Stamp uint64 `json:"-"`
+}
+
+// DoneChunk is a part of the set of a job's completed tasks.
+type DoneChunk struct {
+	Bits  []byte
+	Stamp uint64
+}
+
+// MarshalJSON writes the bits as base64.
+func (d DoneChunk) MarshalJSON() ([]byte, error) {
+	return json.Marshal(base64.StdEncoding.EncodeToString(d.Bits))
+}
+
+// UnmarshalJSON reads what MarshalJSON wrote.
+func (d *DoneChunk) UnmarshalJSON(p []byte) error {
+	var s string
+	if err := json.Unmarshal(p, &s); err != nil {
+		return err
+	}
+	var err error
+	d.Bits, err = base64.StdEncoding.DecodeString(s)
+	return err
+}
+
+// Has tells whether bit i is set.
+func (d *DoneChunk) Has(i int) bool {
+	return d != nil && i/8 < len(d.Bits) && d.Bits[i/8]&(1<<(i%8)) != 0
+}
+
+// With returns a copy with bit i set.
+func (d *DoneChunk) With(i int) *DoneChunk {
+	n := &DoneChunk{}
+	if d != nil {
+		n.Bits = append(n.Bits, d.Bits...)
+		n.Stamp = d.Stamp
+	}
+	for len(n.Bits) <= i/8 {
+		n.Bits = append(n.Bits, 0)
+	}
+	n.Bits[i/8] |= 1 << (i % 8)
+	return n
+}
+
+// Count is the number of bits set.
+func (d *DoneChunk) Count() int {
+	n := 0
+	if d != nil {
+		for _, b := range d.Bits {
+			n += bits.OnesCount8(b)
+		}
+	}
+	return n
+}
+
+// split takes a key apart; name is empty for keys without one.
+func split(key string) (kind, name string, ok bool) {
+	rest, ok := strings.CutPrefix(key, Root)
+	if !ok {
+		return "", "", false
+	}
+	kind, name, _ = strings.Cut(rest, "/")
+	return kind, name, true
+}
+
+// splitDone takes the name of a done chunk apart.
+func splitDone(name string) (job string, chunk int, ok bool) {
+	job, num, found := strings.Cut(name, "/")
+	chunk, err := strconv.Atoi(num)
+	return job, chunk, found && err == nil && chunk >= 0
+}
+
+func decodeAs[T any](raw json.RawMessage, stamp func(*T)) (any, error) {
+	v := new(T)
+	if err := json.Unmarshal(raw, v); err != nil {
+		return nil, err
+	}
+	stamp(v)
+	return v, nil
+}
+
+// decode reads a record of a kind.
+func decode(kind string, raw json.RawMessage, stamp uint64) (any, error) {
+	switch kind {
+	case KindJob:
+		return decodeAs(raw, func(v *Job) { v.Stamp = stamp })
+	case KindDone:
+		return decodeAs(raw, func(v *DoneChunk) { v.Stamp = stamp })
+	case KindBind:
+		return decodeAs(raw, func(v *Bind) { v.Stamp = stamp })
+	case KindHand:
+		return decodeAs(raw, func(v *Hand) { v.Stamp = stamp })
+	case KindMember:
+		return decodeAs(raw, func(v *Member) { v.Stamp = stamp })
+	case KindRent:
+		return decodeAs(raw, func(v *Rent) { v.Stamp = stamp })
+	case KindLeader:
+		return decodeAs(raw, func(v *Leader) { v.Stamp = stamp })
+	case KindTerm:
+		return decodeAs(raw, func(v *Term) { v.Stamp = stamp })
+	}
+	return nil, fmt.Errorf("unknown kind %q", kind)
+}
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,250 @@
+// Package mesh connects the controllers: each keeps an HTTP/2 stream open to
+// every other and tells on it which workers it hears and how fresh its view
+// is. Nothing that safety rests on travels here.
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"lynxledge/internal/actor"
+	"lynxledge/internal/config"
+	"lynxledge/wire"
+)
+
+// Beat is one message of a stream.
+type Beat struct {
+	Member string   `json:"member"`
+	AgeMS  int64    `json:"ageMs"` // of the sender's view; below 0: it has none
+	Heard  []string `json:"heard,omitempty"`
+}
+
+// Front answers other controllers' questions about jobs.
+type Front interface {
+	Status(ctx context.Context, id string) (*wire.JobStatus, bool, error)
+}
+
+// Mesh is the actor that knows the other controllers.
+type Mesh struct {
+	*actor.Actor
+	ctx     context.Context
+	cfg     *config.Config
+	period  time.Duration
+	fresh   func() time.Time
+	peers   map[string]*peer
+	best    atomic.Pointer[peer]
+	onHeard func([]string)
+	client  *http.Client
+}
+
+type peer struct {
+	config.Peer
+	out  chan Beat
+	seen time.Time
+	age  time.Duration
+}
+
+func h2c() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
+// Start opens the streams. fresh tells from when this node's view is; onHeard
+// takes the workers that others hear.
+func Start(ctx context.Context, cfg *config.Config, fresh func() time.Time, onHeard func([]string)) *Mesh {
+	period := config.Secs(cfg.Params.Workers.ReportS / 3)
+	m := &Mesh{
+		Actor: actor.Start(ctx, "mesh", 128), ctx: ctx, cfg: cfg, period: period, fresh: fresh,
+		peers: map[string]*peer{}, onHeard: onHeard,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext: (&net.Dialer{Timeout: period}).DialContext, Protocols: h2c(),
+			HTTP2: &http.HTTP2Config{SendPingTimeout: 2 * period, PingTimeout: 2 * period},
+		}},
+	}
+	for _, p := range cfg.Peers {
+		q := &peer{Peer: p, out: make(chan Beat, 4)}
+		m.peers[p.Name] = q
+		go m.dial(q)
+	}
+	m.Every(period, func() {
+		m.Heard(nil)
+		m.choose()
+	})
+	return m
+}
+
+// Heard tells the others which workers reported here.
+func (m *Mesh) Heard(machines []string) {
+	b := Beat{Member: m.cfg.Name, AgeMS: -1, Heard: machines}
+	if f := m.fresh(); !f.IsZero() {
+		b.AgeMS = time.Since(f).Milliseconds()
+	}
+	for _, p := range m.peers {
+		select {
+		case p.out <- b:
+		default: // the stream is down; silence is not proof of anything
+		}
+	}
+}
+
+// dial keeps one stream open.
+func (m *Mesh) dial(p *peer) {
+	for n := 0; m.ctx.Err() == nil; n++ {
+		begun := time.Now()
+		err := m.stream(p)
+		slog.Debug("stream ended", "peer", p.Name, "err", err)
+		if time.Since(begun) > 10*m.period {
+			n = 0
+		}
+		wait := m.period << min(n, 3)
+		select {
+		case <-time.After(wait + rand.N(wait)):
+		case <-m.ctx.Done():
+		}
+	}
+}
+
+func (m *Mesh) stream(p *peer) error {
+	ctx, cancel := context.WithCancel(m.ctx)
+	defer cancel()
+	r, w := io.Pipe()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Addr+"/beats", r)
+	if err != nil {
+		return err
+	}
+	go func() {
+		enc := json.NewEncoder(w)
+		for {
+			select {
+			case b := <-p.out:
+				if err := enc.Encode(b); err != nil {
+					return
+				}
+			case <-ctx.Done():
+				w.CloseWithError(ctx.Err())
+				return
+			}
+		}
+	}()
+	resp, err := m.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// Serve answers the others' streams and questions until ctx ends.
+func (m *Mesh) Serve(l net.Listener, front Front) error {
+	r := chi.NewRouter()
+	r.Post("/beats", m.beats)
+	r.Get("/work/{id}", func(w http.ResponseWriter, req *http.Request) {
+		s, known, err := front.Status(req.Context(), chi.URLParam(req, "id"))
+		switch {
+		case err != nil:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case !known:
+			w.WriteHeader(http.StatusNotFound)
+		default:
+			_ = json.NewEncoder(w).Encode(s)
+		}
+	})
+	srv := &http.Server{
+		Handler: r, Protocols: h2c(), ReadHeaderTimeout: 4 * m.period,
+		HTTP2: &http.HTTP2Config{SendPingTimeout: 2 * m.period, PingTimeout: 2 * m.period},
+	}
+	return srv.Serve(l)
+}
+
+func (m *Mesh) beats(w http.ResponseWriter, r *http.Request) {
+	w.WriteHeader(http.StatusOK)
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+	dec := json.NewDecoder(r.Body)
+	for {
+		var b Beat
+		if err := dec.Decode(&b); err != nil {
+			if !errors.Is(err, io.EOF) {
+				slog.Debug("stream broke", "err", err)
+			}
+			return
+		}
+		m.Post(func() { m.heard(b) })
+	}
+}
+
+func (m *Mesh) heard(b Beat) {
+	p := m.peers[b.Member]
+	if p == nil {
+		slog.Warn("beat of an unknown controller", "member", b.Member)
+		return
+	}
+	p.seen, p.age = time.Now(), time.Duration(b.AgeMS)*time.Millisecond
+	if len(b.Heard) > 0 {
+		m.onHeard(b.Heard)
+	}
+}
+
+// choose names the controller with the freshest view among those heard
+// lately.
+func (m *Mesh) choose() {
+	var best *peer
+	for _, p := range m.peers {
+		if time.Since(p.seen) > 3*m.period || p.age < 0 || p.age > 3*m.period {
+			continue
+		}
+		if best == nil || p.age < best.age {
+			best = p
+		}
+	}
+	m.best.Store(best)
+}
+
+// Elsewhere names a controller that has state, or nothing.
+func (m *Mesh) Elsewhere() string {
+	if p := m.best.Load(); p != nil {
+		return p.Name
+	}
+	return ""
+}
+
+// Status asks a controller that has state for a job.
+func (m *Mesh) Status(ctx context.Context, id string) (*wire.JobStatus, bool, error) {
+	p := m.best.Load()
+	if p == nil {
+		return nil, false, errors.New("no controller with state is known")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Addr+"/work/"+id, nil)
+	if err != nil {
+		return nil, false, err
+	}
+	resp, err := m.client.Do(req)
+	if err != nil {
+		return nil, false, err
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+		var s wire.JobStatus
+		if err := json.NewDecoder(io.LimitReader(resp.Body, wire.MaxBody)).Decode(&s); err != nil {
+			return nil, false, err
+		}
+		return &s, true, nil
+	case http.StatusNotFound:
+		return nil, false, nil
+	}
+	return nil, false, errors.New(resp.Status)
+}
--- /dev/null
+++ b/internal/place/choose.go
@@ -0,0 +1,248 @@
+// Package place binds tasks to machines: the choice is pure, and an actor
+// makes it through the state service for the teams handed to this controller.
+package place
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"lynxledge/internal/config"
+	"lynxledge/wire"
+)
+
+// Res is an amount of a machine.
+type Res struct{ CPUs, GPUs, Mem float64 }
+
+// Of is what a task of a job takes.
+func Of(j *wire.Job) Res { return Res{j.CPUs, j.GPUs, j.MemoryGB} }
+
+// Capacity is what a machine of a type has.
+func Capacity(t *wire.MachineType) Res { return Res{t.CPUs, t.GPUs, t.MemoryGB} }
+
+const slack = 1e-6 // sums of decimal amounts
+
+// Plus adds o n times.
+func (r Res) Plus(o Res, n float64) Res {
+	return Res{r.CPUs + n*o.CPUs, r.GPUs + n*o.GPUs, r.Mem + n*o.Mem}
+}
+
+// Fits tells whether r is within limit.
+func (r Res) Fits(limit Res) bool {
+	return r.CPUs <= limit.CPUs+slack && r.GPUs <= limit.GPUs+slack && r.Mem <= limit.Mem+slack
+}
+
+// Share is the largest share that r takes of a machine.
+func (r Res) Share(machine Res) float64 {
+	s := 0.0
+	for _, p := range [][2]float64{{r.CPUs, machine.CPUs}, {r.GPUs, machine.GPUs}, {r.Mem, machine.Mem}} {
+		switch {
+		case p[1] > 0:
+			s = math.Max(s, p[0]/p[1])
+		case p[0] > 0:
+			return math.Inf(1)
+		}
+	}
+	return s
+}
+
+// Allowed tells whether a job's tasks may run on a type, in a zone and on a
+// kind of machine at all.
+func Allowed(j *wire.Job, typ, zone string, spot bool) bool {
+	return (len(j.Types) == 0 || slices.Contains(j.Types, typ)) &&
+		(j.Zone == "" || j.Zone == zone) && (j.Spot || !spot)
+}
+
+// Task is one task on a node, as far as the choice cares.
+type Task struct {
+	Job   *wire.Job // nil when its job is unknown
+	Name  string
+	Stops bool    // ordered to stop
+	Spent float64 // seconds since it was bound
+}
+
+// Node is a machine that may take tasks.
+type Node struct {
+	Name  string
+	Type  *wire.MachineType
+	Zone  string
+	Spot  bool
+	Used  Res // of tasks that are to stay
+	Tasks []Task
+	Image func(image string) bool
+}
+
+// Tally is what a team's tasks use until they are proved gone.
+type Tally map[string]Res
+
+// WithinLimit tells whether a team may take more.
+func (t Tally) WithinLimit(team config.Team, more Res) bool {
+	u := t[team.Name].Plus(more, 1)
+	return (team.CPUsMax == 0 || u.CPUs <= team.CPUsMax+slack) &&
+		(team.GPUsMax == 0 || u.GPUs <= team.GPUsMax+slack)
+}
+
+// WithinGuarantee tells whether a team with more still has no more than it is
+// guaranteed.
+func (t Tally) WithinGuarantee(team config.Team, more Res) bool {
+	u := t[team.Name].Plus(more, 1)
+	return u.CPUs <= team.CPUs+slack && u.GPUs <= team.GPUs+slack
+}
+
+// Zones counts a job's tasks by zone, those that are stopping included.
+type Zones map[string]int
+
+// Allows tells whether one more task of the job may be in a zone now.
+func (z Zones) Allows(j *wire.Job, zone string) bool {
+	if j.OneZone {
+		for other, n := range z {
+			if n > 0 && other != zone {
+				return false
+			}
+		}
+	}
+	return !j.Spread || z[zone] < (j.Tasks+1)/2
+}
+
+// maxSample bounds a choice: beyond it a random sample of the machines is
+// looked at in place of all of them.
+const maxSample = 64
+
+// Sample returns at most maxSample of the nodes.
+func Sample(nodes []*Node, rng *rand.Rand) []*Node {
+	if len(nodes) <= maxSample {
+		return nodes
+	}
+	out := make([]*Node, 0, maxSample)
+	for _, i := range rng.Perm(len(nodes))[:maxSample] {
+		out = append(out, nodes[i])
+	}
+	return out
+}
+
+// Pick returns the node with room that suits a task of the job best, or nil.
+// Urgent work goes where its image is; the rest packs machines that are in
+// use already, and spot machines before ordinary ones.
+func Pick(j *wire.Job, zones Zones, nodes []*Node) *Node {
+	var best *Node
+	bestScore := math.Inf(1)
+	need := Of(j)
+	for _, n := range nodes {
+		limit := Capacity(n.Type)
+		if !Allowed(j, n.Type.Name, n.Zone, n.Spot) || !zones.Allows(j, n.Zone) || !n.Used.Plus(need, 1).Fits(limit) {
+			continue
+		}
+		if s := score(j, zones, n, limit); s < bestScore {
+			best, bestScore = n, s
+		}
+	}
+	return best
+}
+
+// score orders the nodes that have room; the lowest is best. Its parts are
+// shares of one machine.
+func score(j *wire.Job, zones Zones, n *Node, limit Res) float64 {
+	s := 1 - n.Used.Share(limit)
+	if !n.Image(j.Image) {
+		if j.Rank >= wire.RankHigh {
+			s += 4
+		} else {
+			s += 0.3
+		}
+	}
+	if j.Spot && !n.Spot {
+		s += 2 // keep ordinary machines for those that need them
+	}
+	if j.Spread {
+		s += 8 * float64(zones[n.Zone]) / float64(j.Tasks)
+	}
+	return s
+}
+
+// Victims is a set of tasks to stop on a node so that another fits.
+type Victims struct {
+	Node  *Node
+	Tasks []int // indices into Node.Tasks
+	Cost  float64
+}
+
+// Preempt finds the cheapest set of tasks to stop for a task of job j. Work
+// of lower rank may go; with the team inside its guarantee so may work of any
+// rank that another team runs beyond its own. Nothing else may.
+func Preempt(j *wire.Job, zones Zones, nodes []*Node, tally Tally, team func(string) config.Team) *Victims {
+	var best *Victims
+	need := Of(j)
+	guaranteed := tally.WithinGuarantee(team(j.Team), need)
+	for _, n := range nodes {
+		if !Allowed(j, n.Type.Name, n.Zone, n.Spot) || !zones.Allows(j, n.Zone) {
+			continue
+		}
+		if v := victims(j, n, need, guaranteed, tally, team); v != nil && (best == nil || v.Cost < best.Cost) {
+			best = v
+		}
+	}
+	return best
+}
+
+func victims(j *wire.Job, n *Node, need Res, guaranteed bool, tally Tally, team func(string) config.Team) *Victims {
+	limit := Capacity(n.Type)
+	type candidate struct {
+		i    int
+		cost float64
+	}
+	var cands []candidate
+	for i, t := range n.Tasks {
+		if t.Job == nil || t.Stops {
+			continue
+		}
+		lower := t.Job.Rank < j.Rank
+		if !lower && !(guaranteed && t.Job.Team != j.Team) {
+			continue
+		}
+		lost := t.Spent
+		if t.Job.CheckpointS > 0 {
+			lost = math.Min(lost, t.Job.CheckpointS)
+		}
+		if t.Job.Service() {
+			lost += 60 // a replica's users notice
+		}
+		cands = append(cands, candidate{i, (1 + lost) * t.Job.CPUs * float64(1+3*t.Job.Rank)})
+	}
+	slices.SortFunc(cands, func(a, b candidate) int {
+		if a.cost < b.cost {
+			return -1
+		}
+		if a.cost > b.cost {
+			return 1
+		}
+		return a.i - b.i
+	})
+	v := &Victims{Node: n}
+	used := n.Used
+	left := Tally{}
+	for _, c := range cands {
+		if used.Plus(need, 1).Fits(limit) {
+			break
+		}
+		t := n.Tasks[c.i]
+		if t.Job.Rank >= j.Rank {
+			// Stopping it must leave its team with its guarantee.
+			owner := team(t.Job.Team)
+			u, ok := left[owner.Name]
+			if !ok {
+				u = tally[owner.Name]
+			}
+			if u.CPUs <= owner.CPUs+slack && u.GPUs <= owner.GPUs+slack {
+				continue
+			}
+			left[owner.Name] = u.Plus(Of(t.Job), -1)
+		}
+		used = used.Plus(Of(t.Job), -1)
+		v.Tasks = append(v.Tasks, c.i)
+		v.Cost += c.cost
+	}
+	if len(v.Tasks) == 0 || !used.Plus(need, 1).Fits(limit) {
+		return nil
+	}
+	return v
+}
--- /dev/null
+++ b/internal/rent/rent.go
@@ -0,0 +1,534 @@
+// Package rent is the leader's hand on the cloud: it rents what the plan asks
+// for, adopts what appears, and returns what is idle, dead or lost.
+package rent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"strings"
+	"time"
+
+	"lynxledge/internal/actor"
+	"lynxledge/internal/cloud"
+	"lynxledge/internal/config"
+	"lynxledge/internal/election"
+	"lynxledge/internal/ledger"
+	"lynxledge/internal/place"
+	"lynxledge/internal/plan"
+	"lynxledge/wire"
+)
+
+// Cloud is what the renter needs of the cloud.
+type Cloud interface {
+	Hire(ctx context.Context, r wire.HireRequest) ([]string, error)
+	Delete(ctx context.Context, names []string) error
+	List(ctx context.Context) ([]wire.Host, error)
+}
+
+// Prober asks a silent machine directly.
+type Prober interface {
+	Inspect(ctx context.Context, addr string) (*wire.Report, error)
+}
+
+// Renter is the actor.
+type Renter struct {
+	*actor.Actor
+	ctx    context.Context
+	cfg    *config.Config
+	boot   uint64
+	ledger *ledger.Ledger
+	cloud  Cloud
+	prober Prober
+	report func(*wire.Report)
+
+	view    *ledger.View
+	epoch   uint64
+	fresh   time.Time
+	types   []wire.MachineType
+	active  map[string]*ledger.Job
+	since   map[string]time.Time
+	heard   map[string]time.Time
+	refused map[plan.Pool]time.Time
+
+	term     uint64 // of the leadership that this state belongs to
+	took     time.Time
+	hires    int
+	hiring   map[string]bool
+	closing  map[string]bool
+	probing  map[string]bool
+	deleted  map[string]time.Time
+	listing  bool
+	hosts    map[string]wire.Host
+	listedAt time.Time
+}
+
+// Start runs the actor; it acts only while this process leads.
+func Start(ctx context.Context, cfg *config.Config, boot uint64, l *ledger.Ledger, c Cloud, p Prober, report func(*wire.Report)) *Renter {
+	r := &Renter{
+		Actor: actor.Start(ctx, "renter", 256), ctx: ctx, cfg: cfg, boot: boot, ledger: l, cloud: c, prober: p, report: report,
+		view:   ledger.NewView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
+		active: map[string]*ledger.Job{}, since: map[string]time.Time{}, heard: map[string]time.Time{},
+		refused: map[plan.Pool]time.Time{}, hiring: map[string]bool{}, closing: map[string]bool{},
+		probing: map[string]bool{}, deleted: map[string]time.Time{},
+	}
+	l.Subscribe(func(d ledger.Delta) { r.Send(func() { r.apply(d) }) })
+	r.Every(config.Secs(cfg.Ops.PassS), r.pass)
+	r.Every(config.Secs(cfg.Params.Workers.ReportS/2), r.watch)
+	return r
+}
+
+// SetTypes tells the renter of the machine types.
+func (r *Renter) SetTypes(types []wire.MachineType) { r.Send(func() { r.types = types }) }
+
+// Heard tells the renter of machines that reported to some node.
+func (r *Renter) Heard(machines []string) {
+	now := time.Now()
+	r.Post(func() {
+		for _, m := range machines {
+			r.heard[m] = now
+		}
+	})
+}
+
+func (r *Renter) apply(d ledger.Delta) {
+	r.epoch, r.fresh = d.Epoch, d.Fresh
+	now := time.Now()
+	for _, c := range d.Changes {
+		switch c.Kind {
+		case ledger.KindBind:
+			r.bindChanged(c, now)
+		case ledger.KindJob:
+			if j, _ := c.Rec.(*ledger.Job); j != nil && j.Active() && j.Spec != nil {
+				r.active[c.Name] = j
+			} else {
+				delete(r.active, c.Name)
+			}
+		}
+		r.view.Apply(c)
+	}
+}
+
+func (r *Renter) bindChanged(c ledger.Change, now time.Time) {
+	b, _ := c.Rec.(*ledger.Bind)
+	if old := r.view.Binds[c.Name]; old != nil {
+		for i := range old.Tasks {
+			if t := &old.Tasks[i]; b == nil || b.Find(t.Job, t.N) == nil {
+				delete(r.since, t.Name())
+			}
+		}
+	}
+	if b == nil {
+		delete(r.heard, c.Name)
+		r.deleted[c.Name] = now
+		return
+	}
+	if _, ok := r.heard[c.Name]; !ok && b.Session > 0 {
+		r.heard[c.Name] = now
+	}
+	for i := range b.Tasks {
+		if _, ok := r.since[b.Tasks[i].Name()]; !ok {
+			r.since[b.Tasks[i].Name()] = now
+		}
+	}
+}
+
+// leads tells whether this process leads and its view can be trusted.
+func (r *Renter) leads() bool {
+	if !election.Leading(r.view, r.boot) || time.Since(r.fresh) > config.Secs(2*r.cfg.Params.Workers.ReportS) {
+		return false
+	}
+	if r.term != r.view.Leader.Term {
+		r.term, r.took, r.hires = r.view.Leader.Term, time.Now(), 0
+		r.hosts = nil
+		for m := range r.heard { // silence counts from here
+			r.heard[m] = r.took
+		}
+	}
+	return r.epoch >= r.view.Leader.Stamp
+}
+
+func (r *Renter) guard() wire.Guard {
+	return wire.Guard{Key: ledger.LeaderKey, Version: r.view.Leader.Stamp}
+}
+
+// pass is one round of the design's loop.
+func (r *Renter) pass() {
+	if !r.leads() || len(r.types) == 0 {
+		return
+	}
+	r.list()
+	for name, intent := range r.view.Rents {
+		r.hire(name, intent) // a lost call, of ours or of an earlier leader
+	}
+	in := r.input()
+	p := plan.Make(in)
+	slog.Debug("pass", "machines", len(in.Machines), "demands", len(in.Demands), "rent", p.Rent, "return", len(p.Return), "unmet", p.Unmet)
+	for _, want := range p.Rent {
+		r.intend(want)
+	}
+	for _, m := range p.Return {
+		r.close(m, "idle")
+	}
+}
+
+// input puts together what the plan looks at.
+func (r *Renter) input() plan.Input {
+	now := time.Now()
+	ops := r.cfg.Ops
+	in := plan.Input{
+		Types: r.types, LagS: ops.BootLagS, PassS: ops.PassS, BillingS: ops.BillingPeriodS, Headroom: ops.Headroom,
+		Refused: func(p plan.Pool) bool { return now.Before(r.refused[p]) },
+	}
+	for id, j := range r.active {
+		n := j.Tasks - r.view.DoneCount(id) - len(r.view.Bound[id])
+		if n <= 0 {
+			continue
+		}
+		d := r.cfg.DefaultDeadline(j.Spec.Class)
+		if j.Spec.DeadlineS != nil {
+			d = *j.Spec.DeadlineS
+		}
+		zones := place.Zones{}
+		for _, m := range r.view.Bound[id] {
+			zones[r.view.Binds[m].Zone]++
+		}
+		in.Demands = append(in.Demands, plan.Demand{
+			Job: j.Spec, Count: r.limited(j, n), RunS: j.Spec.EstimateS, Zones: zones,
+			DeadlineS: d - (float64(now.UnixMilli())-float64(j.At))/1000,
+		})
+	}
+	for name, b := range r.view.Binds {
+		m := plan.Machine{
+			Name: name, Pool: plan.Pool{Type: b.Type, Zone: b.Zone, Spot: b.Spot},
+			AgeS: (float64(now.UnixMilli()) - float64(b.At)) / 1000, Open: b.Drain == "" && !b.Closed,
+		}
+		for i := range b.Tasks {
+			t := &b.Tasks[i]
+			j := r.view.Jobs[t.Job]
+			if j == nil || j.Spec == nil {
+				continue
+			}
+			left := math.Inf(1)
+			if !j.Spec.Service() {
+				left = math.Max(0, j.Spec.EstimateS-now.Sub(r.since[t.Name()]).Seconds())
+			}
+			m.Tasks = append(m.Tasks, plan.Held{Job: j.Spec, LeftS: left})
+		}
+		in.Machines = append(in.Machines, m)
+	}
+	for _, intent := range r.view.Rents { // rented, though not known by name yet
+		for i := range intent.Count {
+			in.Machines = append(in.Machines, plan.Machine{
+				Name: fmt.Sprintf("rented-%d", i), Pool: plan.Pool{Type: intent.Type, Zone: intent.Zone, Spot: intent.Spot}, Open: true,
+			})
+		}
+	}
+	return in
+}
+
+// limited is how many of n waiting tasks the team's limit lets run at once.
+func (r *Renter) limited(j *ledger.Job, n int) int {
+	team, ok := r.cfg.Params.Team(j.Spec.Team)
+	if ok && team.CPUsMax > 0 {
+		n = min(n, int(team.CPUsMax/j.Spec.CPUs))
+	}
+	if ok && team.GPUsMax > 0 && j.Spec.GPUs > 0 {
+		n = min(n, int(team.GPUsMax/j.Spec.GPUs))
+	}
+	return n
+}
+
+// intend stores what is to be rented, then rents it.
+func (r *Renter) intend(want plan.Rent) {
+	if time.Now().Before(r.refused[want.Pool]) {
+		return
+	}
+	r.hires++
+	name := fmt.Sprintf("r-%d-%d", r.term, r.hires)
+	intent := &ledger.Rent{
+		Type: want.Type, Zone: want.Zone, Spot: want.Spot,
+		Count: min(want.Count, wire.MaxHire), At: time.Now().UnixMilli(),
+	}
+	key := ledger.Key(ledger.KindRent, name)
+	r.hiring[name] = true
+	r.ledger.Commit(ledger.Commit{
+		Guards: []wire.Guard{r.guard(), {Key: key}},
+		Puts:   []ledger.Put{{Key: key, Rec: intent}},
+	}, func(out ledger.Outcome) {
+		r.Send(func() {
+			delete(r.hiring, name)
+			if out == ledger.Committed {
+				slog.Info("renting", "hire", name, "type", want.Type, "zone", want.Zone, "spot", want.Spot, "count", intent.Count, "load", math.Round(want.Load*100)/100)
+				r.hire(name, intent)
+			}
+		})
+	})
+}
+
+// hire makes the call of a stored intent; the same name gets the same answer.
+func (r *Renter) hire(name string, intent *ledger.Rent) {
+	if r.hiring[name] {
+		return
+	}
+	r.hiring[name] = true
+	go func() {
+		nests, err := r.cloud.Hire(r.ctx, wire.HireRequest{
+			Request: name, Type: intent.Type, Zone: intent.Zone, Spot: intent.Spot, Count: intent.Count,
+		})
+		r.Send(func() { r.hired(name, intent, nests, err) })
+	}()
+}
+
+func (r *Renter) hired(name string, intent *ledger.Rent, nests []string, err error) {
+	pool := plan.Pool{Type: intent.Type, Zone: intent.Zone, Spot: intent.Spot}
+	none := errors.Is(err, cloud.ErrNoCapacity) || errors.Is(err, cloud.ErrMalformed)
+	if err != nil && !none {
+		slog.Info("rental unanswered", "hire", name, "err", err)
+		delete(r.hiring, name) // the next pass repeats it
+		return
+	}
+	if !r.leads() {
+		delete(r.hiring, name)
+		return
+	}
+	if none || len(nests) < intent.Count {
+		r.refused[pool] = time.Now().Add(config.Secs(r.cfg.Ops.PassS * refusalPasses))
+		slog.Info("cloud gave less", "hire", name, "type", intent.Type, "zone", intent.Zone, "spot", intent.Spot, "asked", intent.Count, "got", len(nests))
+	}
+	r.record(name, intent, nests)
+}
+
+// refusalPasses is for how many passes a pool that ran short is left alone.
+const refusalPasses = 4
+
+// record writes the machines of a rental and then drops its intent.
+func (r *Renter) record(name string, intent *ledger.Rent, nests []string) {
+	c := ledger.Commit{Guards: []wire.Guard{r.guard()}, Patience: config.Secs(r.cfg.Ops.PassS)}
+	limit := r.cfg.Params.State.TxnOps - 1
+	rest := nests
+	for len(rest) > 0 && len(c.Puts) < limit {
+		m := rest[0]
+		rest = rest[1:]
+		if !wire.ValidMachine(m) || r.view.Binds[m] != nil {
+			continue
+		}
+		c.Puts = append(c.Puts, r.newBind(m, intent.Type, intent.Zone, intent.Spot, intent.At, &c))
+	}
+	if len(rest) == 0 {
+		c.Delete = []string{ledger.Key(ledger.KindRent, name)}
+	}
+	r.ledger.Commit(c, func(out ledger.Outcome) {
+		r.Send(func() {
+			if out == ledger.Committed && len(rest) > 0 {
+				r.record(name, intent, rest)
+				return
+			}
+			delete(r.hiring, name)
+		})
+	})
+}
+
+func (r *Renter) newBind(m, typ, zone string, spot bool, at int64, c *ledger.Commit) ledger.Put {
+	key := ledger.Key(ledger.KindBind, m)
+	c.Guards = append(c.Guards, wire.Guard{Key: key})
+	return ledger.Put{Key: key, Rec: &ledger.Bind{Type: typ, Zone: zone, Spot: spot, Token: ledger.Token(r.term), At: at}}
+}
+
+// list reads the cloud's machines and deals with what is unexpected.
+func (r *Renter) list() {
+	if r.listing {
+		return
+	}
+	r.listing = true
+	begun := time.Now()
+	go func() {
+		hosts, err := r.cloud.List(r.ctx)
+		r.Send(func() {
+			r.listing = false
+			if err != nil {
+				slog.Info("machine list not read", "err", err)
+				return
+			}
+			r.hosts = make(map[string]wire.Host, len(hosts))
+			for _, h := range hosts {
+				r.hosts[h.ID] = h
+			}
+			r.listedAt = begun
+			if r.leads() {
+				r.survey()
+			}
+		})
+	}()
+}
+
+// survey adopts unexpected machines and closes failed ones.
+func (r *Renter) survey() {
+	now := time.Now()
+	lag := config.Secs(r.cfg.Params.Cloud.ListLagS)
+	for m, t := range r.deleted {
+		if now.Sub(t) > 6*lag {
+			delete(r.deleted, m)
+		}
+	}
+	c := ledger.Commit{Guards: []wire.Guard{r.guard()}}
+	for id, h := range r.hosts {
+		b := r.view.Binds[id]
+		if _, late := r.deleted[id]; b == nil && !late && wire.ValidMachine(id) &&
+			len(r.view.Rents) == 0 && len(r.hiring) == 0 && len(c.Puts) < r.cfg.Params.State.TxnOps {
+			slog.Info("unexpected machine adopted", "machine", id, "type", h.Type, "zone", h.Zone, "spot", h.Spot)
+			c.Puts = append(c.Puts, r.newBind(id, h.Type, h.Zone, h.Spot, now.UnixMilli()-int64(h.AgeS*1000), &c))
+		}
+		if b != nil && h.State == wire.HostFailed {
+			r.close(id, "failed")
+		}
+	}
+	if len(c.Puts) > 0 {
+		r.ledger.Commit(c, func(ledger.Outcome) {})
+	}
+}
+
+// watch looks for machines that are lost: never up, silent or unlisted. A
+// machine is never taken for gone; it is returned, which makes it so.
+func (r *Renter) watch() {
+	if !r.leads() {
+		return
+	}
+	now := time.Now()
+	report := config.Secs(r.cfg.Params.Workers.ReportS)
+	silence := time.Duration(float64(report) * r.cfg.Ops.Silence)
+	var silent []string
+	up := 0
+	for m, b := range r.view.Binds {
+		age := now.Sub(time.UnixMilli(b.At))
+		switch {
+		case b.Closed:
+			r.remove(m, b) // an earlier try, or an earlier leader's
+		case b.Session == 0:
+			if age > config.Secs(r.bootS(b.Type)*r.cfg.Ops.BootPatience) {
+				r.close(m, "never came up")
+			}
+		default:
+			up++
+			quiet := now.Sub(r.heard[m])
+			if quiet > 2*report {
+				r.probe(m, b)
+			}
+			if quiet > silence {
+				silent = append(silent, m)
+			}
+		}
+	}
+	for _, m := range silent {
+		// When most machines are silent, the fault is more likely ours.
+		if 2*len(silent) > up && now.Sub(r.heard[m]) < config.Secs(2*r.cfg.Params.Workers.LeaseS) {
+			continue
+		}
+		r.close(m, "silent")
+	}
+}
+
+func (r *Renter) bootS(typ string) float64 {
+	for i := range r.types {
+		if r.types[i].Name == typ {
+			return r.types[i].BootS
+		}
+	}
+	return r.cfg.Ops.BootLagS
+}
+
+func (r *Renter) probe(m string, b *ledger.Bind) {
+	if r.probing[m] {
+		return
+	}
+	r.probing[m] = true
+	go func() {
+		rep, err := r.prober.Inspect(r.ctx, b.Addr)
+		r.Send(func() {
+			delete(r.probing, m)
+			if err == nil && rep.Machine == m {
+				r.heard[m] = time.Now()
+				r.report(rep)
+			}
+		})
+	}()
+}
+
+// close fences a machine's record, so that nothing new is bound to it, and
+// then returns the machine. An idle machine is closed only as it was seen.
+func (r *Renter) close(m, why string) {
+	b := r.view.Binds[m]
+	if b == nil || r.closing[m] {
+		return
+	}
+	if b.Closed {
+		r.remove(m, b)
+		return
+	}
+	next := b.Next(r.view.CurrentTerm())
+	next.Closed, next.Drain = true, why
+	key := ledger.Key(ledger.KindBind, m)
+	r.closing[m] = true
+	r.ledger.Commit(ledger.Commit{
+		Guards: []wire.Guard{r.guard(), {Key: key, Version: b.Stamp}},
+		Puts:   []ledger.Put{{Key: key, Rec: next}},
+	}, func(out ledger.Outcome) {
+		r.Send(func() {
+			delete(r.closing, m)
+			if out == ledger.Committed {
+				slog.Info("returning machine", "machine", m, "why", why, "tasks", len(b.Tasks),
+					"age_s", (time.Now().UnixMilli()-b.At)/1000, "type", b.Type, "zone", b.Zone, "spot", b.Spot)
+				r.remove(m, r.view.Binds[m])
+			}
+		})
+	})
+}
+
+// remove deletes a closed machine at the cloud; once that is answered, the
+// machine and its tasks are gone, and so is its record.
+func (r *Renter) remove(m string, b *ledger.Bind) {
+	if b == nil || r.closing[m] || !r.leads() {
+		return
+	}
+	r.closing[m] = true
+	names := []string{m}
+	for other, ob := range r.view.Binds { // one call for all that wait for it
+		if ob.Closed && !r.closing[other] && len(names) < wire.MaxDelete {
+			r.closing[other] = true
+			names = append(names, other)
+		}
+	}
+	go func() {
+		err := r.cloud.Delete(r.ctx, names)
+		r.Send(func() { r.removed(names, err) })
+	}()
+}
+
+func (r *Renter) removed(names []string, err error) {
+	if err != nil {
+		slog.Info("return unanswered", "machines", strings.Join(names, " "), "err", err)
+		for _, m := range names {
+			delete(r.closing, m)
+		}
+		return
+	}
+	for len(names) > 0 {
+		n := min(len(names), r.cfg.Params.State.TxnOps)
+		part := names[:n]
+		names = names[n:]
+		// No guard on the stamp: the machine is gone, whatever its record says.
+		c := ledger.Commit{Patience: config.Secs(r.cfg.Ops.PassS)}
+		for _, m := range part {
+			c.Delete = append(c.Delete, ledger.Key(ledger.KindBind, m))
+		}
+		r.ledger.Commit(c, func(ledger.Outcome) {
+			r.Send(func() {
+				for _, m := range part {
+					delete(r.closing, m)
+				}
+			})
+		})
+	}
+}
