--- /dev/null
+++ b/cmd/lynxledge/cluster_test.go
@@ -0,0 +1,332 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "lynxledge/internal/seeded"
+
+	"lynxledge/internal/config"
+	"lynxledge/internal/standin"
+	"lynxledge/wire"
+)
+
+const settings = `
+member = "n0"
+area = "a"
+client_listen = "127.0.0.1:1"
+mesh_addr = "127.0.0.1:2"
+[external]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[params]
+size = 3
+zones = ["a", "b"]
+skew_ms = 25.0
+[[params.teams]]
+name = "red"
+cpus = 8.0
+cpus_max = 20.0
+[[params.teams]]
+name = "blue"
+cpus = 4.0
+cpus_max = 0.0
+[params.workers]
+report_s = 3.0
+lease_s = 34.0
+cancel_s = 64.0
+[params.state]
+rps = 150.0
+write_rps = 50.0
+value_kb = 8.0
+txn_ops = 8
+[params.cloud]
+rps = 3.0
+list_lag_s = 10.0
+[params.resources]
+cpu = 0.1
+memory_mb = 70.0
+`
+
+var machineTypes = []wire.MachineType{
+	{Name: "s", CPUs: 4, MemoryGB: 16, CacheGB: 20, FetchGBps: 1, Price: 1, SpotPrice: 0.4, BootS: 20, Zones: []string{"a", "b"}},
+	{Name: "l", CPUs: 16, MemoryGB: 64, CacheGB: 20, FetchGBps: 1, Price: 4.5, SpotPrice: 1.5, BootS: 20, Zones: []string{"a"}},
+}
+
+// world is a cluster of this program over the stand-ins.
+type world struct {
+	ctx   context.Context
+	cfg   *config.Config
+	rules *standin.Rules
+	state *standin.State
+	net   *standin.Net
+	cloud *standin.Cloud
+	nodes []string
+	up    map[string]context.CancelFunc
+	doors map[string]http.Handler
+	rng   *rand.Rand
+	jobs  int
+	known []*wire.Job
+}
+
+func newWorld(ctx context.Context, seed uint64) *world {
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	cfg, err := config.Parse(settings)
+	if err != nil {
+		panic(err)
+	}
+	cfg.Ops.BootLagS = 20
+	w := &world{
+		ctx: ctx, cfg: cfg, rules: standin.NewRules(cfg.Params), state: standin.NewState(),
+		net: standin.NewNet(seed, 5*time.Millisecond), nodes: []string{"n0", "n1", "n2"},
+		up: map[string]context.CancelFunc{}, doors: map[string]http.Handler{}, rng: rand.New(rand.NewPCG(seed, 9)),
+	}
+	opt := standin.WorkerOptions{
+		Report: config.Secs(cfg.Params.Workers.ReportS), Lease: config.Secs(cfg.Params.Workers.LeaseS),
+		Nodes: w.nodes, Net: w.net, Rules: w.rules, Fetch: time.Second,
+		Post: func(node string) standin.Post {
+			door := w.doors[node]
+			if door == nil {
+				return nil
+			}
+			return func(_ context.Context, rep *wire.Report) (wire.ReportReply, string, bool) { return hello(door, rep) }
+		},
+	}
+	w.cloud = standin.NewCloud(seed, machineTypes, 5, 10*time.Second, func(h wire.Host) *standin.Worker {
+		return standin.NewWorker(ctx, h, opt, int(seed%uint64(len(w.nodes))))
+	})
+	for _, n := range w.nodes {
+		w.start(n)
+	}
+	return w
+}
+
+func hello(door http.Handler, rep *wire.Report) (reply wire.ReportReply, to string, ok bool) {
+	status, body := ask(door, http.MethodPost, "/hello", rep)
+	if status == http.StatusOK {
+		return reply, "", json.Unmarshal(body, &reply) == nil
+	}
+	var r wire.Redirect
+	_ = json.Unmarshal(body, &r)
+	return reply, r.ReportTo, false
+}
+
+func ask(door http.Handler, method, path string, in any) (int, []byte) {
+	b, _ := json.Marshal(in)
+	rec := httptest.NewRecorder()
+	door.ServeHTTP(rec, httptest.NewRequest(method, path, bytes.NewReader(b)))
+	return rec.Code, rec.Body.Bytes()
+}
+
+func (w *world) start(name string) {
+	ctx, cancel := context.WithCancel(w.ctx)
+	cfg := *w.cfg
+	cfg.Name = name
+	n := assemble(ctx, &cfg, w.rng.Uint64()>>1, links{
+		state:   &standin.Conn{State: w.state, Net: w.net, Node: name, Timeout: 1500 * time.Millisecond},
+		cloud:   &standin.CloudConn{Cloud: w.cloud, Net: w.net, Node: name, Timeout: 4 * time.Second, World: w.ctx},
+		workers: &standin.WorkerConn{Cloud: w.cloud, Net: w.net, Node: name, Timeout: 3 * time.Second},
+	})
+	w.up[name], w.doors[name] = cancel, n.front.Handler()
+}
+
+func (w *world) crash(name string) {
+	if w.up[name] != nil {
+		w.up[name]()
+		delete(w.up, name)
+		delete(w.doors, name)
+	}
+}
+
+// ask sends a user's request to a node that is up, and has the answer checked.
+func (w *world) ask(method, path, id string, in any) int {
+	for range w.nodes {
+		if door := w.doors[w.nodes[w.rng.IntN(len(w.nodes))]]; door != nil {
+			status, body := ask(door, method, path, in)
+			var s wire.JobStatus
+			_ = json.Unmarshal(body, &s)
+			w.rules.Told(id, status, s.State)
+			return status
+		}
+	}
+	return 0
+}
+
+// act is one thing that happens to a cluster.
+type act struct {
+	Kind string
+	A, B int
+}
+
+var kinds = []string{
+	"submit", "submit", "submit", "service", "resubmit", "abort", "poll", "poll", "wait", "wait", "wait",
+	"crash", "crash all", "restart", "cut node", "hold node", "cut state", "hold state", "cut worker", "hold worker",
+	"heal", "heal", "outage", "recover", "fail", "take", "notice", "loss", "repeat", "calm", "stranger",
+}
+
+func genActs() *rapid.Generator[[]act] {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) act {
+		return act{rapid.SampledFrom(kinds).Draw(t, "kind"), rapid.IntRange(0, 9).Draw(t, "a"), rapid.IntRange(0, 9).Draw(t, "b")}
+	}), 20, 60)
+}
+
+func (w *world) do(a act) {
+	node := w.nodes[a.A%len(w.nodes)]
+	machine := ""
+	if up := w.cloud.Up(); len(up) > 0 {
+		machine = up[a.A%len(up)]
+	}
+	switch a.Kind {
+	case "submit", "service":
+		w.submit(a)
+	case "resubmit":
+		if len(w.known) > 0 {
+			j := w.known[a.A%len(w.known)]
+			w.ask(http.MethodPost, "/work", j.ID, j)
+		}
+	case "abort":
+		if len(w.known) > 0 {
+			id := w.known[a.A%len(w.known)].ID
+			w.rules.AskedToCancel(id)
+			w.ask(http.MethodPost, "/work/"+id+"/abort", id, nil)
+		}
+	case "poll":
+		for _, j := range w.known {
+			w.ask(http.MethodGet, "/work/"+j.ID, j.ID, nil)
+		}
+	case "stranger":
+		w.ask(http.MethodGet, fmt.Sprintf("/work/req-9%05d", a.A), fmt.Sprintf("req-9%05d", a.A), nil)
+	case "crash":
+		w.crash(node)
+	case "crash all":
+		for _, n := range w.nodes {
+			w.crash(n)
+		}
+	case "restart":
+		for _, n := range w.nodes {
+			if w.up[n] == nil {
+				w.start(n)
+			}
+		}
+	case "cut node", "hold node":
+		w.net.Cut(node, "", a.Kind == "hold node")
+	case "cut state", "hold state":
+		w.net.Cut(node, standin.StateHost, a.Kind == "hold state")
+	case "cut worker", "hold worker":
+		if machine != "" {
+			w.net.Cut(machine, "", a.Kind == "hold worker")
+		}
+	case "heal":
+		w.net.HealAll()
+	case "outage":
+		w.state.SetDown(true)
+	case "recover":
+		w.state.SetDown(false)
+	case "fail", "take":
+		w.cloud.Fail(a.A, a.Kind == "take")
+	case "notice":
+		if machine != "" {
+			w.cloud.Notice(machine, 15)
+		}
+	case "loss":
+		w.net.SetFates(0.2, 0)
+	case "repeat":
+		w.net.SetFates(0.02, 0.3)
+	case "calm":
+		w.net.SetFates(0, 0)
+	}
+	w.pass(time.Duration(1+a.B*a.B/4) * time.Second)
+}
+
+func (w *world) submit(a act) {
+	w.jobs++
+	j := &wire.Job{
+		ID: fmt.Sprintf("req-%06d", w.jobs), Class: "c", Team: []string{"red", "blue"}[a.A%2], Shape: wire.ShapeArray,
+		Rank: wire.Rank(a.B % 3), Tasks: 1 + a.A, CPUs: float64(1 + a.B%4), MemoryGB: 1, Image: "img", ImageGB: 1,
+		Spot: a.A%3 != 0, OneZone: a.B%4 == 1, EstimateS: 10,
+	}
+	if a.Kind == "service" {
+		j.Shape, j.Rank, j.Tasks, j.CPUs, j.Spread, j.OneZone, j.Spot = wire.ShapeService, wire.RankProd, 1+a.A%3, 1, a.B%2 == 0, false, false
+	}
+	w.rules.Submitted(j, time.Duration(2+a.B*3)*time.Second)
+	w.known = append(w.known, j)
+	w.ask(http.MethodPost, "/work", j.ID, j)
+}
+
+// pass lets time go by, watching the rules.
+func (w *world) pass(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(time.Second)
+		w.rules.Tick()
+	}
+}
+
+// recover ends every trouble and lets the cluster finish its work.
+func (w *world) recover() {
+	w.net.HealAll()
+	w.net.SetFates(0, 0)
+	w.state.SetDown(false)
+	for _, n := range w.nodes {
+		if w.up[n] == nil {
+			w.start(n)
+		}
+	}
+	for range 40 {
+		w.pass(15 * time.Second)
+		for _, id := range w.rules.Open() {
+			w.ask(http.MethodGet, "/work/"+id, id, nil)
+		}
+		if len(w.rules.Open()) == 0 {
+			return
+		}
+	}
+}
+
+func play(t *testing.T, seed uint64, acts []act, prepare func(*world)) (breaches, open []string, started int) {
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		w := newWorld(ctx, seed)
+		if prepare != nil {
+			prepare(w)
+		}
+		w.pass(5 * time.Second)
+		for _, a := range acts {
+			w.do(a)
+		}
+		w.recover()
+		breaches, open, started = w.rules.Breaches(), w.rules.Open(), w.rules.Count()
+		cancel()
+		time.Sleep(2 * time.Minute) // what is under way ends
+	})
+	return breaches, open, started
+}
+
+// TestRules plays generated troubles against the whole program and checks
+// every rule of the protocol all along; in the end everything accepted is done.
+func TestRules(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		acts := genActs().Draw(rt, "acts")
+		breaches, open, _ := play(t, seed, acts, nil)
+		if len(breaches) > 0 {
+			rt.Fatalf("rules broken:\n%s", strings.Join(breaches, "\n"))
+		}
+		if len(open) > 0 {
+			rt.Fatalf("never finished: %v", open)
+		}
+	})
+}
--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -12,7 +12,6 @@
 	"runtime"
 	"runtime/debug"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"lynxledge/internal/cloud"
@@ -61,59 +60,77 @@
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
 }
 
-// serve puts the actors together and answers until the process is killed.
+// serve puts the controller together and answers until the process is killed.
 func serve(ctx context.Context, cfg *config.Config, users, peers net.Listener) error {
 	p, ops := cfg.Params, cfg.Ops
 	report := config.Secs(p.Workers.ReportS)
-	boot := rand.Uint64() >> 1
+	n := assemble(ctx, cfg, rand.Uint64()>>1, links{
+		state:   state.New(cfg.External.State, p.State.RPS, p.State.WriteRPS, ops.StateShare, p.State.TxnOps, report/2),
+		cloud:   cloud.New(cfg.External.Cloud, p.Cloud.RPS, ops.CloudShare, 2*report),
+		workers: worker.New(report),
+	})
+	go func() {
+		if err := n.mesh.Serve(peers, n.front); err != nil {
+			slog.Error("mesh server ended", "err", err)
+		}
+	}()
+	srv := &http.Server{
+		Handler: n.front.Handler(), ReadHeaderTimeout: 4 * report,
+		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
+	}
+	return srv.Serve(users)
+}
+
+// links are a controller's ways to the world.
+type links struct {
+	state interface {
+		ledger.Store
+		election.Leases
+	}
+	cloud   rent.Cloud
+	workers interface {
+		place.Commander
+		rent.Prober
+	}
+}
+
+// node is a controller's actors that take requests.
+type node struct {
+	front *frontdoor.Front
+	mesh  *mesh.Mesh
+}
+
+// assemble starts a controller's actors. boot tells this process from its
+// earlier ones.
+func assemble(ctx context.Context, cfg *config.Config, boot uint64, to links) node {
+	p, ops := cfg.Params, cfg.Ops
+	report := config.Secs(p.Workers.ReportS)
 	chunk := ledger.ChunkTasks(p.State.ValueKB)
 	slog.Info("starting", "member", cfg.Name, "zone", cfg.Zone, "boot", boot)
 
-	store := state.New(cfg.External.State, p.State.RPS, p.State.WriteRPS, ops.StateShare, p.State.TxnOps, report/2)
-	led := ledger.Start(ctx, store, ledger.Options{
+	led := ledger.Start(ctx, to.state, ledger.Options{
 		ChunkTasks: chunk, Hold: 5 * report, Gap: report / 120, Refresh: refreshPause(cfg),
 		MaxAge: report / 2, Backoff: report / 30,
 	})
-	var fresh atomic.Int64
-	led.Subscribe(func(d ledger.Delta) { fresh.Store(d.Fresh.UnixNano()) })
-	freshAt := func() time.Time {
-		if n := fresh.Load(); n != 0 {
-			return time.Unix(0, n)
-		}
-		return time.Time{}
-	}
-
-	var renter *rent.Renter
-	msh := mesh.Start(ctx, cfg, freshAt, func(machines []string) { renter.Heard(machines) })
+	msh := mesh.Start(ctx, cfg, led.Fresh)
 	rep := reports.Start(ctx, cfg, led, msh.Elsewhere)
-	workers := worker.New(report)
-	clouds := cloud.New(cfg.External.Cloud, p.Cloud.RPS, ops.CloudShare, 2*report)
 	front := frontdoor.Start(ctx, cfg, led, rep, msh)
-	placer := place.Start(ctx, cfg, boot, led, workers, rep.Handle)
-	renter = rent.Start(ctx, cfg, boot, led, clouds, workers, rep.Handle)
+	placer := place.Start(ctx, cfg, boot, led, to.workers, rep.Handle)
+	renter := rent.Start(ctx, cfg, boot, led, to.cloud, to.workers, rep.Handle)
 	rep.Heard(msh.Heard)
 	rep.Heard(renter.Heard)
-	election.Start(ctx, store, led, election.Options{
+	msh.OnHeard(renter.Heard)
+	election.Start(ctx, to.state, led, election.Options{
 		Name: cfg.Name, Boot: boot, TTL: time.Duration(float64(report) * ops.MemberLease),
 		Teams: teams(p.Teams), MaxOps: p.State.TxnOps, Chunk: chunk,
 	})
-	catalog := cloud.NewCatalog(ctx, clouds)
+	catalog := cloud.NewCatalog(ctx, to.cloud)
 	catalog.Subscribe(front.SetTypes)
 	catalog.Subscribe(placer.SetTypes)
 	catalog.Subscribe(renter.SetTypes)
 	go catalog.Run(ctx, 12*config.Secs(ops.PassS), report/3)
 	led.Run()
-
-	go func() {
-		if err := msh.Serve(peers, front); err != nil {
-			slog.Error("mesh server ended", "err", err)
-		}
-	}()
-	srv := &http.Server{
-		Handler: front.Handler(), ReadHeaderTimeout: 4 * report,
-		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
-	}
-	return srv.Serve(users)
+	return node{front, msh}
 }
 
 // refreshPause lets reads of the state that users wait for take a tenth of
--- a/internal/cloud/catalog.go
+++ b/internal/cloud/catalog.go
@@ -9,15 +9,20 @@
 	"lynxledge/wire"
 )
 
+// Lister reads the machine types.
+type Lister interface {
+	Types(ctx context.Context) ([]wire.MachineType, error)
+}
+
 // Catalog is the actor that keeps the machine types and their prices.
 type Catalog struct {
 	*actor.Actor
-	client *Client
+	client Lister
 	subs   []func([]wire.MachineType)
 }
 
 // NewCatalog makes a catalog; Subscribe before Run.
-func NewCatalog(ctx context.Context, c *Client) *Catalog {
+func NewCatalog(ctx context.Context, c Lister) *Catalog {
 	return &Catalog{Actor: actor.Start(ctx, "catalog", 16), client: c}
 }
 
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,123 @@
+package config
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "lynxledge/internal/seeded"
+)
+
+const sound = `
+member = "n0"
+area = "a"
+client_listen = "127.0.0.1:1"
+mesh_addr = "127.0.0.1:2"
+later_field = { x = 1 }
+[external]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[params]
+[[params.teams]]
+name = "red"
+cpus = 8.0
+[[params.objectives]]
+kind = "finished"
+class = "c"
+within_s = 150.0
+[[params.objectives]]
+kind = "finished"
+class = "c"
+within_s = 100.0
+[params.workers]
+report_s = 3.0
+lease_s = 34.0
+cancel_s = 64.0
+[params.state]
+rps = 150.0
+write_rps = 50.0
+value_kb = 8.0
+txn_ops = 8
+[params.cloud]
+rps = 3.0
+list_lag_s = 10.0
+[params.resources]
+cpu = 0.1
+memory_mb = 70.0
+`
+
+// One wrong field is refused with a message that names it.
+func TestWrongSettingsAreNamed(t *testing.T) {
+	if _, err := Parse(sound); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, names string }{
+		{`member = "n0"`, ``, "member"},
+		{`"127.0.0.1:1"`, `"nowhere"`, "client_listen"},
+		{`cloud = "127.0.0.1:3"`, ``, "external.cloud"},
+		{`report_s = 3.0`, `report_s = 0`, "report_s"},
+		{`rps = 150.0`, `rps = -1.0`, "params.state.rps"},
+		{`lease_s = 34.0`, `lease_s = 64.0`, "cancel_s"},
+		{`lease_s = 34.0`, `lease_s = 2.0`, "lease_s"},
+		{`txn_ops = 8`, `txn_ops = 1`, "txn_ops"},
+		{`txn_ops = 8`, `txn_ops = "x"`, "txn_ops"},
+		{`cpus = 8.0`, `cpus = -8.0`, "params.teams[0]"},
+		{`name = "red"`, ``, "params.teams[0].name"},
+		{`rps = 3.0`, `rps = 0.0`, "params.cloud.rps"},
+		{`memory_mb = 70.0`, ``, "memory_mb"},
+	} {
+		_, err := Parse(strings.Replace(sound, c.old, c.new, 1))
+		if err == nil || !strings.Contains(err.Error(), c.names) {
+			t.Errorf("%s -> %s: %v", c.old, c.new, err)
+		}
+	}
+	if _, err := Load(filepath.Join(t.TempDir(), "none.toml"), ""); err == nil || !strings.Contains(err.Error(), "does not exist") {
+		t.Errorf("missing file: %v", err)
+	}
+}
+
+func TestDefaultDeadline(t *testing.T) {
+	c, err := Parse(sound)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := c.DefaultDeadline("c"); d != 100 {
+		t.Errorf("class with aims: %v", d)
+	}
+	if d := c.DefaultDeadline("other"); d != c.Ops.DefaultDeadlineS {
+		t.Errorf("class without: %v", d)
+	}
+}
+
+func TestOperatorsSettings(t *testing.T) {
+	if o, err := ParseOps(opsDefault); err != nil || o != DefaultOps() {
+		t.Fatalf("the defaults don't keep the schema: %v", err)
+	}
+	for body, names := range map[string]string{
+		`{"pass_s": "5"}`: "/pass_s", `{"pass_s": 0}`: "/pass_s", `{"state_share": 2}`: "/state_share", `{"passs": 5}`: "passs",
+		`[]`: "/", `{`: "not JSON",
+	} {
+		if _, err := ParseOps([]byte(body)); err == nil || !strings.Contains(err.Error(), names) {
+			t.Errorf("%s: %v", body, err)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		want := DefaultOps()
+		want.PassS = rapid.Float64Range(1, 300).Draw(t, "pass")
+		b, _ := json.Marshal(map[string]any{"pass_s": want.PassS})
+		if got, err := ParseOps(b); err != nil || got != want {
+			t.Fatalf("%s: %+v %v", b, got, err)
+		}
+	})
+	path := filepath.Join(t.TempDir(), "c.toml")
+	if err := os.WriteFile(path, []byte(sound), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Load(path, path); err == nil {
+		t.Error("TOML passed for JSON")
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"lynxledge/internal/actor"
@@ -52,7 +53,8 @@
 	dead   map[string]uint64 // keys deleted by own commits, until the watch passes them
 	subs   []func(Delta)
 
-	waiters    []func(error) // of the next refresh
+	freshAt    atomic.Pointer[time.Time] // fresh, for those who only look
+	waiters    []func(error)             // of the next refresh
 	refreshing bool
 	lastRefr   time.Time
 }
@@ -65,6 +67,14 @@
 	}
 }
 
+// Fresh is the time from which the view is; zero before it is loaded.
+func (l *Ledger) Fresh() time.Time {
+	if t := l.freshAt.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
 // Subscribe registers a receiver of deltas; it must not wait for the ledger.
 func (l *Ledger) Subscribe(f func(Delta)) { l.subs = append(l.subs, f) }
 
@@ -226,6 +236,8 @@
 		l.view.Apply(c)
 		news = append(news, c)
 	}
+	fresh := l.fresh
+	l.freshAt.Store(&fresh)
 	d := Delta{Epoch: l.epoch, Fresh: l.fresh, Changes: news}
 	for _, f := range l.subs {
 		f(d)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -43,7 +43,7 @@
 	fresh   func() time.Time
 	peers   map[string]*peer
 	best    atomic.Pointer[peer]
-	onHeard func([]string)
+	onHeard atomic.Pointer[func([]string)]
 	client  *http.Client
 }
 
@@ -60,13 +60,12 @@
 	return p
 }
 
-// Start opens the streams. fresh tells from when this node's view is; onHeard
-// takes the workers that others hear.
-func Start(ctx context.Context, cfg *config.Config, fresh func() time.Time, onHeard func([]string)) *Mesh {
+// Start opens the streams. fresh tells from when this node's view is.
+func Start(ctx context.Context, cfg *config.Config, fresh func() time.Time) *Mesh {
 	period := config.Secs(cfg.Params.Workers.ReportS / 3)
 	m := &Mesh{
 		Actor: actor.Start(ctx, "mesh", 128), ctx: ctx, cfg: cfg, period: period, fresh: fresh,
-		peers: map[string]*peer{}, onHeard: onHeard,
+		peers: map[string]*peer{},
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: period}).DialContext, Protocols: h2c(),
 			HTTP2: &http.HTTP2Config{SendPingTimeout: 2 * period, PingTimeout: 2 * period},
@@ -84,6 +83,9 @@
 	return m
 }
 
+// OnHeard sets the receiver of the workers that others hear.
+func (m *Mesh) OnHeard(f func([]string)) { m.onHeard.Store(&f) }
+
 // Heard tells the others which workers reported here.
 func (m *Mesh) Heard(machines []string) {
 	b := Beat{Member: m.cfg.Name, AgeMS: -1, Heard: machines}
@@ -193,8 +195,8 @@
 		return
 	}
 	p.seen, p.age = time.Now(), time.Duration(b.AgeMS)*time.Millisecond
-	if len(b.Heard) > 0 {
-		m.onHeard(b.Heard)
+	if f := m.onHeard.Load(); f != nil && len(b.Heard) > 0 {
+		(*f)(b.Heard)
 	}
 }
 
--- /dev/null
+++ b/internal/place/choose_test.go
@@ -0,0 +1,127 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "lynxledge/internal/seeded"
+
+	"lynxledge/internal/config"
+	"lynxledge/wire"
+)
+
+var testTypes = []wire.MachineType{{Name: "s", CPUs: 4, MemoryGB: 8}, {Name: "l", CPUs: 16, GPUs: 2, MemoryGB: 64}}
+
+func genSpec(t *rapid.T, id int) *wire.Job {
+	return &wire.Job{
+		ID: fmt.Sprintf("req-%06d", id), Team: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"), Shape: wire.ShapeArray,
+		Rank: wire.Rank(rapid.IntRange(0, 3).Draw(t, "rank")), Tasks: rapid.IntRange(1, 9).Draw(t, "tasks"),
+		CPUs: rapid.Float64Range(0.1, 6).Draw(t, "cpus"), GPUs: float64(rapid.IntRange(0, 1).Draw(t, "gpus")),
+		MemoryGB: rapid.Float64Range(0, 20).Draw(t, "mem"), Image: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "image"),
+		OneZone: rapid.Bool().Draw(t, "one"), Spread: rapid.Bool().Draw(t, "spread"), Spot: rapid.Bool().Draw(t, "spot"),
+	}
+}
+
+func genNodes(t *rapid.T) []*Node {
+	var nodes []*Node
+	for i := range rapid.IntRange(0, 8).Draw(t, "nodes") {
+		n := &Node{
+			Name: fmt.Sprint(i), Type: &testTypes[rapid.IntRange(0, 1).Draw(t, "type")],
+			Zone: rapid.SampledFrom([]string{"p", "q"}).Draw(t, "zone"), Spot: rapid.Bool().Draw(t, "spotm"),
+			Image: func(string) bool { return i%2 == 0 },
+		}
+		for k := range rapid.IntRange(0, 4).Draw(t, "held") {
+			j := genSpec(t, 100+k)
+			if n.Used.Plus(Of(j), 1).Fits(Capacity(n.Type)) {
+				n.Used = n.Used.Plus(Of(j), 1)
+				n.Tasks = append(n.Tasks, Task{Job: j, Name: wire.TaskName(j.ID, i)})
+			}
+		}
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
+// A pick is always allowed and has room, and there is one if any node would do.
+func TestPick(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		j, nodes := genSpec(t, 1), genNodes(t)
+		zones := Zones{"p": rapid.IntRange(0, 2).Draw(t, "inP"), "q": rapid.IntRange(0, 2).Draw(t, "inQ")}
+		ok := func(n *Node) bool {
+			inOther := zones["p"] + zones["q"] - zones[n.Zone]
+			return (j.Spot || !n.Spot) && (!j.OneZone || inOther == 0) && (!j.Spread || 2*zones[n.Zone] < j.Tasks) &&
+				n.Used.Plus(Of(j), 1).Fits(Capacity(n.Type))
+		}
+		got := Pick(j, zones, nodes)
+		if got != nil && !ok(got) {
+			t.Fatalf("picked %+v for %+v", got, j)
+		}
+		for _, n := range nodes {
+			if got == nil && ok(n) {
+				t.Fatalf("left out %+v for %+v", n, j)
+			}
+		}
+	})
+}
+
+// Preemption stops only what the protocol lets it, and makes room.
+func TestPreempt(t *testing.T) {
+	teams := map[string]config.Team{"a": {Name: "a", CPUs: 6}, "b": {Name: "b", CPUs: 3}}
+	team := func(n string) config.Team { return teams[n] }
+	rapid.Check(t, func(t *rapid.T) {
+		j, nodes := genSpec(t, 1), genNodes(t)
+		tally := Tally{}
+		for _, n := range nodes {
+			for _, task := range n.Tasks {
+				tally[task.Job.Team] = tally[task.Job.Team].Plus(Of(task.Job), 1)
+			}
+		}
+		v := Preempt(j, Zones{}, nodes, tally, team)
+		if v == nil {
+			return
+		}
+		used := v.Node.Used
+		left := tally["a"].CPUs
+		if j.Team == "a" {
+			left = tally["b"].CPUs
+		}
+		for _, i := range v.Tasks {
+			victim := v.Node.Tasks[i]
+			used = used.Plus(Of(victim.Job), -1)
+			if victim.Job.Rank < j.Rank {
+				continue
+			}
+			if victim.Job.Team == j.Team {
+				t.Fatal("equal or higher rank of the same team stopped")
+			}
+			if !tally.WithinGuarantee(team(j.Team), Of(j)) {
+				t.Fatal("taken back beyond the guarantee")
+			}
+			if left <= teams[victim.Job.Team].CPUs {
+				t.Fatal("another team loses what it is guaranteed")
+			}
+			left -= victim.Job.CPUs
+		}
+		if !used.Plus(Of(j), 1).Fits(Capacity(v.Node.Type)) {
+			t.Fatal("victims make no room")
+		}
+	})
+}
+
+func TestSampleIsBounded(t *testing.T) {
+	nodes := make([]*Node, 500)
+	for i := range nodes {
+		nodes[i] = &Node{Name: fmt.Sprint(i)}
+	}
+	got := Sample(nodes, rand.New(rand.NewPCG(1, 1)))
+	seen := map[*Node]bool{}
+	for _, n := range got {
+		seen[n] = true
+	}
+	if len(got) != maxSample || len(seen) != maxSample {
+		t.Fatalf("%d nodes, %d different", len(got), len(seen))
+	}
+}
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -13,10 +13,14 @@
 	"lynxledge/internal/actor"
 	"lynxledge/internal/config"
 	"lynxledge/internal/ledger"
-	"lynxledge/internal/worker"
 	"lynxledge/wire"
 )
 
+// Commander sends commands straight to a worker.
+type Commander interface {
+	Do(ctx context.Context, addr string, cmd wire.Commands) (*wire.Report, error)
+}
+
 // Placer is the actor that places the tasks of the teams handed to it.
 type Placer struct {
 	*actor.Actor
@@ -24,7 +28,7 @@
 	cfg    *config.Config
 	boot   uint64
 	ledger *ledger.Ledger
-	worker *worker.Client
+	worker Commander
 	report func(*wire.Report) // takes what workers answer to commands
 	rng    *rand.Rand
 
@@ -56,7 +60,7 @@
 }
 
 // Start runs a placer. report must not wait for the placer.
-func Start(ctx context.Context, cfg *config.Config, boot uint64, l *ledger.Ledger, w *worker.Client, report func(*wire.Report)) *Placer {
+func Start(ctx context.Context, cfg *config.Config, boot uint64, l *ledger.Ledger, w Commander, report func(*wire.Report)) *Placer {
 	p := &Placer{
 		Actor: actor.Start(ctx, "placer", 512), ctx: ctx, cfg: cfg, boot: boot, ledger: l, worker: w,
 		report: report, rng: rand.New(rand.NewPCG(boot, 1)),
--- /dev/null
+++ b/internal/plan/plan_test.go
@@ -0,0 +1,115 @@
+package plan
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "lynxledge/internal/seeded"
+
+	"lynxledge/internal/place"
+	"lynxledge/wire"
+)
+
+var planTypes = []wire.MachineType{
+	{Name: "s", CPUs: 4, MemoryGB: 16, Price: 1, SpotPrice: 0.4, Zones: []string{"a", "b"}},
+	{Name: "l", CPUs: 16, MemoryGB: 64, Price: 3.8, SpotPrice: 1.7, Zones: []string{"a"}},
+}
+
+func base(d ...Demand) Input {
+	return Input{Types: planTypes, Demands: d, Refused: func(Pool) bool { return false }, LagS: 45, PassS: 5, BillingS: 60}
+}
+
+func job(cpus float64, spot bool) *wire.Job {
+	return &wire.Job{ID: "req-000001", Shape: wire.ShapeArray, CPUs: cpus, MemoryGB: 1, Tasks: 100, Spot: spot}
+}
+
+// The design's load: running time over window times share, capped at the
+// share; the full share for empty and past windows and for services.
+func TestLoad(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share, run := rapid.Float64Range(0.01, 1).Draw(t, "share"), rapid.Float64Range(0, 500).Draw(t, "run")
+		window := rapid.Float64Range(-100, 500).Draw(t, "window")
+		l := Load(share, run, window, false)
+		switch {
+		case window <= 0 || run >= window:
+			if l != share {
+				t.Fatalf("past or tight window: %v of %v", l, share)
+			}
+		case math.Abs(l-share*run/window) > 1e-9:
+			t.Fatalf("%v for %v over %v of %v", l, run, window, share)
+		}
+		if Load(share, run, window, true) != share {
+			t.Fatal("a service counts in full")
+		}
+	})
+}
+
+func TestCheapestPoolIsRented(t *testing.T) {
+	for _, c := range []struct {
+		d    Demand
+		in   func(*Input)
+		want Rent
+	}{
+		{Demand{Job: job(4, true), Count: 10, DeadlineS: 95, RunS: 25}, nil, Rent{Pool{"s", "a", true}, 5, 5}},
+		{Demand{Job: job(4, false), Count: 3, DeadlineS: 10, RunS: 25}, nil, Rent{Pool{"l", "a", false}, 1, 0.75}},
+		{Demand{Job: job(4, true), Count: 2, DeadlineS: 10, RunS: 25},
+			func(in *Input) { in.Refused = func(p Pool) bool { return p.Spot } }, Rent{Pool{"l", "a", false}, 1, 0.5}},
+	} {
+		in := base(c.d)
+		if c.in != nil {
+			c.in(&in)
+		}
+		got := Make(in).Rent
+		if len(got) != 1 || got[0].Pool != c.want.Pool || got[0].Count != c.want.Count || math.Abs(got[0].Load-c.want.Load) > 1e-6 {
+			t.Errorf("got %+v, want %+v", got, c.want)
+		}
+	}
+}
+
+// Whatever there is, rentals name pools that the job allows and the cloud has,
+// busy machines and those with load are kept, and unmet work is owned up to.
+func TestPassIsSound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := base()
+		refused := map[Pool]bool{}
+		for _, p := range []Pool{{"s", "a", true}, {"s", "a", false}, {"s", "b", true}, {"s", "b", false}, {"l", "a", true}, {"l", "a", false}} {
+			refused[p] = rapid.Bool().Draw(t, "refused")
+		}
+		in.Refused = func(p Pool) bool { return refused[p] }
+		in.Headroom = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "headroom")
+		total := 0
+		for i := range rapid.IntRange(0, 5).Draw(t, "jobs") {
+			j := job(float64(rapid.IntRange(1, 20).Draw(t, "cpus")), rapid.Bool().Draw(t, "spot"))
+			j.ID, j.Spread, j.Tasks = fmt.Sprintf("req-%06d", i), rapid.Bool().Draw(t, "spread"), rapid.IntRange(1, 30).Draw(t, "tasks")
+			total += j.Tasks
+			in.Demands = append(in.Demands, Demand{Job: j, Count: j.Tasks, DeadlineS: rapid.Float64Range(-50, 300).Draw(t, "due"), RunS: 20, Zones: place.Zones{}})
+		}
+		for i := range rapid.IntRange(0, 6).Draw(t, "machines") {
+			m := Machine{Name: fmt.Sprint(i), Pool: Pool{rapid.SampledFrom([]string{"s", "l"}).Draw(t, "type"), "a", rapid.Bool().Draw(t, "spotm")}, Open: true, AgeS: rapid.Float64Range(0, 300).Draw(t, "age")}
+			if rapid.Bool().Draw(t, "busy") {
+				m.Tasks = []Held{{job(2, true), 10}}
+			}
+			in.Machines = append(in.Machines, m)
+		}
+		p := Make(in)
+		for _, r := range p.Rent {
+			if refused[r.Pool] || r.Count < 1 {
+				t.Fatalf("rents %+v", r)
+			}
+		}
+		for _, name := range p.Return {
+			var i int
+			fmt.Sscan(name, &i)
+			m := in.Machines[i]
+			if len(m.Tasks) > 0 || 60-math.Mod(m.AgeS, 60) > 10 {
+				t.Fatalf("returns %+v", m)
+			}
+		}
+		if len(p.Rent) == 0 && len(in.Machines) == 0 && p.Unmet < total {
+			t.Fatalf("%d tasks, nothing rented, %d unmet", total, p.Unmet)
+		}
+	})
+}
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -26,6 +26,7 @@
 	Hire(ctx context.Context, r wire.HireRequest) ([]string, error)
 	Delete(ctx context.Context, names []string) error
 	List(ctx context.Context) ([]wire.Host, error)
+	Types(ctx context.Context) ([]wire.MachineType, error)
 }
 
 // Prober asks a silent machine directly.
--- /dev/null
+++ b/internal/standin/cloud.go
@@ -0,0 +1,212 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"lynxledge/internal/cloud"
+	"lynxledge/wire"
+)
+
+// Cloud rents workers.
+type Cloud struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	types   []wire.MachineType
+	limit   int // machines of one pool
+	lag     time.Duration
+	hires   map[string][]string
+	hosts   map[string]*host
+	next    int
+	history []snapshot
+	boot    func(h wire.Host) *Worker
+}
+
+type host struct {
+	wire.Host
+	rented time.Time
+	worker *Worker
+}
+
+type snapshot struct {
+	at    time.Time
+	hosts []wire.Host
+}
+
+// NewCloud makes a cloud whose machines become workers by boot.
+func NewCloud(seed uint64, types []wire.MachineType, limit int, lag time.Duration, boot func(h wire.Host) *Worker) *Cloud {
+	return &Cloud{
+		rng: rand.New(rand.NewPCG(seed, 8)), types: types, limit: limit, lag: lag,
+		hires: map[string][]string{}, hosts: map[string]*host{}, boot: boot,
+	}
+}
+
+func (c *Cloud) hire(ctx context.Context, r wire.HireRequest) ([]string, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if names, ok := c.hires[r.Request]; ok {
+		return names, nil
+	}
+	in := 0
+	for _, h := range c.hosts {
+		if h.Type == r.Type && h.Zone == r.Zone && h.Spot == r.Spot {
+			in++
+		}
+	}
+	var names []string
+	for range min(r.Count, c.limit-in) {
+		id := fmt.Sprintf("i-%06d", c.next)
+		c.next++
+		h := &host{Host: wire.Host{ID: id, Addr: id + ":9000", Type: r.Type, Zone: r.Zone, Spot: r.Spot, State: wire.HostStarting}, rented: time.Now()}
+		c.hosts[id] = h
+		names = append(names, id)
+		wait := time.Duration(c.rng.Int64N(int64(20 * time.Second)))
+		go func() {
+			if !sleep(ctx, wait) {
+				return
+			}
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if c.hosts[id] == h && h.State == wire.HostStarting {
+				h.State = wire.HostRunning
+				h.worker = c.boot(h.Host)
+			}
+		}()
+	}
+	if len(names) == 0 {
+		return nil, cloud.ErrNoCapacity
+	}
+	c.hires[r.Request] = names
+	return names, nil
+}
+
+func (c *Cloud) delete(names []string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range names {
+		if h := c.hosts[n]; h != nil {
+			if h.worker != nil {
+				h.worker.Kill()
+			}
+			delete(c.hosts, n)
+		}
+	}
+	return nil
+}
+
+// list answers as of some time ago, as the protocol allows.
+func (c *Cloud) list() ([]wire.Host, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	s := snapshot{at: now}
+	for _, h := range c.hosts {
+		e := h.Host
+		e.AgeS = now.Sub(h.rented).Seconds()
+		s.hosts = append(s.hosts, e)
+	}
+	slices.SortFunc(s.hosts, func(a, b wire.Host) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	c.history = append(c.history, s)
+	back := time.Duration(c.rng.Int64N(int64(2 * c.lag)))
+	for i := len(c.history) - 1; i >= 0; i-- {
+		if now.Sub(c.history[i].at) >= back {
+			return c.history[i].hosts, nil
+		}
+	}
+	return nil, nil
+}
+
+// Fail stops the i-th machine that is up, with everything on it; taken: the
+// cloud takes it back, and it is not listed any more.
+func (c *Cloud) Fail(i int, taken bool) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	up := c.up()
+	if len(up) == 0 {
+		return ""
+	}
+	h := c.hosts[up[i%len(up)]]
+	h.worker.Kill()
+	h.State = wire.HostFailed
+	if taken {
+		delete(c.hosts, h.ID)
+	}
+	return h.ID
+}
+
+// Notice gives a machine notice that it will be taken.
+func (c *Cloud) Notice(id string, s float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h := c.hosts[id]; h != nil && h.worker != nil {
+		h.worker.Notice(s)
+	}
+}
+
+// Up names the machines that run.
+func (c *Cloud) Up() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.up()
+}
+
+func (c *Cloud) up() []string {
+	var up []string
+	for id, h := range c.hosts {
+		if h.State == wire.HostRunning {
+			up = append(up, id)
+		}
+	}
+	slices.Sort(up)
+	return up
+}
+
+func (c *Cloud) worker(addr string) *Worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.hosts {
+		if h.Addr == addr {
+			return h.worker
+		}
+	}
+	return nil
+}
+
+// CloudConn is one controller's connection to the cloud.
+type CloudConn struct {
+	Cloud   *Cloud
+	Net     *Net
+	Node    string
+	Timeout time.Duration
+	World   context.Context // machines outlive the controllers
+}
+
+// Types and the other methods are what the controllers use.
+func (c *CloudConn) Types(ctx context.Context) ([]wire.MachineType, error) {
+	return send(ctx, c.Net, c.Node, CloudHost, c.Timeout, func() ([]wire.MachineType, error) { return c.Cloud.types, nil })
+}
+
+// Hire rents.
+func (c *CloudConn) Hire(ctx context.Context, r wire.HireRequest) ([]string, error) {
+	return send(ctx, c.Net, c.Node, CloudHost, c.Timeout, func() ([]string, error) { return c.Cloud.hire(c.World, r) })
+}
+
+// Delete returns machines.
+func (c *CloudConn) Delete(ctx context.Context, names []string) error {
+	_, err := send(ctx, c.Net, c.Node, CloudHost, c.Timeout, func() (struct{}, error) { return struct{}{}, c.Cloud.delete(names) })
+	return err
+}
+
+// List reads the machines.
+func (c *CloudConn) List(ctx context.Context) ([]wire.Host, error) {
+	return send(ctx, c.Net, c.Node, CloudHost, c.Timeout, c.Cloud.list)
+}
--- /dev/null
+++ b/internal/standin/rules.go
@@ -0,0 +1,210 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"lynxledge/internal/config"
+	"lynxledge/wire"
+)
+
+// Rules watches what workers do and users are told, and keeps every breach.
+type Rules struct {
+	mu       sync.Mutex
+	teams    map[string]config.Team
+	cancelS  time.Duration
+	jobs     map[string]*told
+	on       map[string]wire.Host // task: machine
+	breaches []string
+	started  int
+}
+
+type told struct {
+	job       *wire.Job
+	run       time.Duration
+	completed map[int]bool
+	accepted  bool
+	final     string
+	asked     bool // to cancel
+	cancelled time.Time
+}
+
+// NewRules makes a checker.
+func NewRules(p config.Params) *Rules {
+	r := &Rules{teams: map[string]config.Team{}, cancelS: config.Secs(p.Workers.CancelS), jobs: map[string]*told{}, on: map[string]wire.Host{}}
+	for _, t := range p.Teams {
+		r.teams[t.Name] = t
+	}
+	return r
+}
+
+func (r *Rules) breach(format string, args ...any) {
+	r.breaches = append(r.breaches, fmt.Sprintf(format, args...))
+}
+
+// Breaches lists what was broken.
+func (r *Rules) Breaches() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.breaches)
+}
+
+// Count is the number of tasks started.
+func (r *Rules) Count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.started
+}
+
+// Submitted registers a job before its first submission.
+func (r *Rules) Submitted(j *wire.Job, run time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.jobs[j.ID] == nil {
+		r.jobs[j.ID] = &told{job: j, run: run, completed: map[int]bool{}}
+	}
+}
+
+// RunTime is how long a task runs on a worker.
+func (r *Rules) RunTime(task string) (run time.Duration, forever bool, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id, _, ok := wire.SplitTask(task)
+	t := r.jobs[id]
+	if !ok || t == nil {
+		return 0, false, errors.New("unknown")
+	}
+	return t.run, t.job.Service(), nil
+}
+
+// Started checks a start.
+func (r *Rules) Started(h wire.Host, task string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.started++
+	id, _, _ := wire.SplitTask(task)
+	t := r.jobs[id]
+	if other, ok := r.on[task]; ok {
+		r.breach("ran_twice: %s starts on %s while on %s", task, h.ID, other.ID)
+	}
+	j := t.job
+	inZone, elsewhere := 0, 0
+	for o, m := range r.on {
+		if oid, _, _ := wire.SplitTask(o); oid == id {
+			if m.Zone == h.Zone {
+				inZone++
+			} else {
+				elsewhere++
+			}
+		}
+	}
+	if len(j.Types) > 0 && !slices.Contains(j.Types, h.Type) || j.Zone != "" && j.Zone != h.Zone || h.Spot && !j.Spot ||
+		j.OneZone && elsewhere > 0 || j.Spread && inZone >= (j.Tasks+1)/2 {
+		r.breach("wrong_place: %s on %s (%s %s spot=%v), %d in zone, %d elsewhere", task, h.ID, h.Type, h.Zone, h.Spot, inZone, elsewhere)
+	}
+	r.on[task] = h
+	used := 0.0
+	for o := range r.on {
+		oid, _, _ := wire.SplitTask(o)
+		if oj := r.jobs[oid].job; oj.Team == j.Team {
+			used += oj.CPUs
+		}
+	}
+	if max := r.teams[j.Team].CPUsMax; max > 0 && used > max+1e-6 {
+		r.breach("quota: %s uses %v of %v", j.Team, used, max)
+	}
+	if !t.cancelled.IsZero() && time.Since(t.cancelled) > r.cancelS {
+		r.breach("ran_cancelled: %s starts %v after", task, time.Since(t.cancelled))
+	}
+}
+
+// Ended takes a task off its machine.
+func (r *Rules) Ended(machine, task string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.on[task].ID == machine {
+		delete(r.on, task)
+	}
+}
+
+// Completed notes a completed task.
+func (r *Rules) Completed(task string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id, n, _ := wire.SplitTask(task)
+	r.jobs[id].completed[n] = true
+}
+
+// Tick checks what holds at all times.
+func (r *Rules) Tick() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for task := range r.on {
+		id, _, _ := wire.SplitTask(task)
+		if t := r.jobs[id]; !t.cancelled.IsZero() && time.Since(t.cancelled) > r.cancelS {
+			r.breach("ran_cancelled: %s is on a machine %v after", task, time.Since(t.cancelled))
+		}
+	}
+}
+
+// AskedToCancel notes that the user wants a job cancelled.
+func (r *Rules) AskedToCancel(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.jobs[id]; t != nil {
+		t.asked = true
+	}
+}
+
+// Told checks an answer: status 201, 200 or 404 for a job, with its state.
+func (r *Rules) Told(id string, status int, state string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.jobs[id]
+	switch {
+	case t == nil && status == 200:
+		r.breach("invented: %s is %s", id, state)
+		return
+	case t == nil:
+		return
+	case t.accepted && (status == 404 || status == 400 || status == 422):
+		r.breach("forgotten: %s gets %d", id, status)
+		return
+	case status != 200 && status != 201:
+		return
+	}
+	t.accepted = true
+	final := state == wire.JobDone || state == wire.JobCancelled
+	if t.final != "" && state != t.final {
+		r.breach("went_back: %s was %s, is %s", id, t.final, state)
+	}
+	if state == wire.JobDone && len(t.completed) < t.job.Tasks {
+		r.breach("not_done: %s with %d of %d", id, len(t.completed), t.job.Tasks)
+	}
+	if state == wire.JobCancelled && !t.asked {
+		r.breach("went_back: %s is called cancelled", id)
+	}
+	if final && t.final == "" {
+		t.final = state
+		if state == wire.JobCancelled {
+			t.cancelled = time.Now()
+		}
+	}
+}
+
+// Open lists jobs that were accepted and are not over.
+func (r *Rules) Open() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for id, t := range r.jobs {
+		if t.accepted && t.final == "" && !t.job.Service() {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,242 @@
+// Package standin plays the state service, the cloud, the workers, the users
+// and the network between them for the project's tests, and checks the
+// protocol's rules while it does. It runs on whatever clock the test runs on.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"lynxledge/internal/state"
+	"lynxledge/wire"
+)
+
+type entry struct {
+	value   json.RawMessage
+	version uint64
+	lease   uint64
+}
+
+type lease struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// State is the state service.
+type State struct {
+	mu       sync.Mutex
+	rev      uint64
+	keys     map[string]entry
+	log      []wire.Event
+	leases   map[uint64]*lease
+	nextID   uint64
+	down     bool
+	changed  chan struct{}
+	IgnoreIf func(key string) bool // guards to break on purpose
+}
+
+// NewState makes an empty store.
+func NewState() *State {
+	return &State{keys: map[string]entry{}, leases: map[uint64]*lease{}, changed: make(chan struct{})}
+}
+
+// SetDown starts or ends an outage; after it every lease has its full time.
+func (s *State) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	for _, l := range s.leases {
+		l.ends = time.Now().Add(l.ttl)
+	}
+	s.wake()
+}
+
+func (s *State) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire removes ended leases and their keys; the caller holds the lock.
+func (s *State) expire() {
+	if s.down {
+		return
+	}
+	now := time.Now()
+	for id, l := range s.leases {
+		if now.Before(l.ends) {
+			continue
+		}
+		delete(s.leases, id)
+		for k, e := range s.keys {
+			if e.lease == id {
+				s.rev++
+				delete(s.keys, k)
+				s.log = append(s.log, wire.Event{Delete: k, Version: s.rev})
+			}
+		}
+		s.wake()
+	}
+}
+
+func (s *State) commit(txn *wire.Txn) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if s.down {
+		return 0, state.ErrRefused
+	}
+	var failed []string
+	for _, g := range txn.Guards {
+		if s.keys[g.Key].version != g.Version && (s.IgnoreIf == nil || !s.IgnoreIf(g.Key)) {
+			failed = append(failed, g.Key)
+		}
+	}
+	for _, w := range txn.Writes {
+		if w.Lease != 0 && s.leases[w.Lease] == nil {
+			return 0, state.ErrNoLease
+		}
+	}
+	if len(failed) > 0 {
+		return 0, &state.Conflict{Failed: failed, Revision: s.rev}
+	}
+	if len(txn.Writes) == 0 {
+		return s.rev, nil
+	}
+	s.rev++
+	for _, w := range txn.Writes {
+		if w.Put != "" {
+			s.keys[w.Put] = entry{w.Value, s.rev, w.Lease}
+			s.log = append(s.log, wire.Event{Put: w.Put, Value: w.Value, Version: s.rev})
+		} else if _, ok := s.keys[w.Delete]; ok {
+			delete(s.keys, w.Delete)
+			s.log = append(s.log, wire.Event{Delete: w.Delete, Version: s.rev})
+		}
+	}
+	s.wake()
+	return s.rev, nil
+}
+
+func (s *State) list(prefix, after string, limit int) (*wire.Items, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if s.down {
+		return nil, state.ErrRefused
+	}
+	var keys []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, prefix) && k > after {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	out := &wire.Items{Revision: s.rev}
+	for i, k := range keys {
+		if i == limit {
+			out.More = true
+			break
+		}
+		out.Items = append(out.Items, wire.Item{Key: k, Value: s.keys[k].value, Version: s.keys[k].version})
+	}
+	return out, nil
+}
+
+func (s *State) follow(ctx context.Context, prefix string, after uint64, hold time.Duration) (*wire.Events, error) {
+	end := time.After(hold)
+	for {
+		s.mu.Lock()
+		s.expire()
+		down, changed := s.down, s.changed
+		out := &wire.Events{Revision: s.rev}
+		// The log is ordered by revision; find the first change after it.
+		i := sort.Search(len(s.log), func(i int) bool { return s.log[i].Version > after })
+		for _, e := range s.log[i:] {
+			if strings.HasPrefix(e.Put+e.Delete, prefix) {
+				out.Events = append(out.Events, e)
+			}
+		}
+		s.mu.Unlock()
+		if down && hold == 0 {
+			return nil, state.ErrRefused
+		}
+		if !down && (len(out.Events) > 0 || hold == 0) {
+			return out, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			if down {
+				return nil, state.ErrRefused
+			}
+			return out, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (s *State) grant(ttl time.Duration) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, state.ErrRefused
+	}
+	s.nextID++
+	s.leases[s.nextID] = &lease{ttl, time.Now().Add(ttl)}
+	return s.nextID, nil
+}
+
+func (s *State) renew(id uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if s.down {
+		return state.ErrRefused
+	}
+	l := s.leases[id]
+	if l == nil {
+		return state.ErrNotFound
+	}
+	l.ends = time.Now().Add(l.ttl)
+	return nil
+}
+
+// Conn is one controller's connection to the state service.
+type Conn struct {
+	State   *State
+	Net     *Net
+	Node    string
+	Timeout time.Duration
+}
+
+// List and the other methods are what the controllers use.
+func (c *Conn) List(ctx context.Context, prefix, after string, limit int) (*wire.Items, error) {
+	return send(ctx, c.Net, c.Node, StateHost, c.Timeout, func() (*wire.Items, error) { return c.State.list(prefix, after, limit) })
+}
+
+// Commit applies a transaction, perhaps late or unanswered.
+func (c *Conn) Commit(ctx context.Context, txn *wire.Txn) (uint64, error) {
+	return send(ctx, c.Net, c.Node, StateHost, c.Timeout, func() (uint64, error) { return c.State.commit(txn) })
+}
+
+// Follow watches.
+func (c *Conn) Follow(ctx context.Context, prefix string, after uint64, hold time.Duration) (*wire.Events, error) {
+	return send(ctx, c.Net, c.Node, StateHost, c.Timeout+hold, func() (*wire.Events, error) {
+		return c.State.follow(ctx, prefix, after, hold)
+	})
+}
+
+// Grant makes a lease.
+func (c *Conn) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	return send(ctx, c.Net, c.Node, StateHost, c.Timeout, func() (uint64, error) { return c.State.grant(ttl) })
+}
+
+// Renew keeps a lease.
+func (c *Conn) Renew(ctx context.Context, id uint64) error {
+	_, err := send(ctx, c.Net, c.Node, StateHost, c.Timeout, func() (struct{}, error) { return struct{}{}, c.State.renew(id) })
+	return err
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,285 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"lynxledge/wire"
+)
+
+// Post hands a report to a controller; ok is false unless it answered 200.
+type Post func(ctx context.Context, rep *wire.Report) (reply wire.ReportReply, reportTo string, ok bool)
+
+// WorkerOptions are a worker's times and ways.
+type WorkerOptions struct {
+	Report, Lease time.Duration
+	Nodes         []string
+	Net           *Net
+	Post          func(node string) Post // nil while the node is down
+	Rules         *Rules
+	Fetch         time.Duration
+}
+
+type held struct {
+	wire.TaskReport
+	started bool
+	stop    context.CancelFunc
+}
+
+// Worker is the agent of one machine.
+type Worker struct {
+	mu      sync.Mutex
+	ctx     context.Context
+	cancel  context.CancelFunc
+	host    wire.Host
+	opt     WorkerOptions
+	session uint64
+	seq     uint64
+	token   uint64
+	tasks   []*held
+	renewed time.Time
+	changed chan struct{}
+	node    int
+	notice  *float64
+}
+
+// NewWorker boots a worker.
+func NewWorker(ctx context.Context, h wire.Host, opt WorkerOptions, node int) *Worker {
+	w := &Worker{host: h, opt: opt, session: 1, renewed: time.Now(), changed: make(chan struct{}, 1), node: node}
+	w.ctx, w.cancel = context.WithCancel(ctx)
+	go w.reports()
+	go w.expire()
+	return w
+}
+
+// Kill stops the machine with everything on it.
+func (w *Worker) Kill() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cancel()
+	w.forgetAll()
+}
+
+// Notice tells the worker that the cloud will take it.
+func (w *Worker) Notice(s float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.notice = &s
+	w.change()
+}
+
+func (w *Worker) forgetAll() {
+	for _, t := range w.tasks {
+		w.leave(t)
+	}
+	w.tasks = nil
+}
+
+func (w *Worker) leave(t *held) {
+	t.stop()
+	if t.started {
+		t.started = false
+		w.opt.Rules.Ended(w.host.ID, t.Task)
+	}
+}
+
+func (w *Worker) change() {
+	select {
+	case w.changed <- struct{}{}:
+	default:
+	}
+}
+
+// expire ends the session when its lease has.
+func (w *Worker) expire() {
+	for sleep(w.ctx, w.opt.Report/6) {
+		w.mu.Lock()
+		if time.Since(w.renewed) > w.opt.Lease {
+			w.forgetAll()
+			w.session++
+			w.renewed = time.Now()
+		}
+		w.mu.Unlock()
+	}
+}
+
+func (w *Worker) report() *wire.Report {
+	w.seq++
+	r := &wire.Report{
+		Machine: w.host.ID, Addr: w.host.Addr, Type: w.host.Type, Zone: w.host.Zone, Spot: w.host.Spot,
+		Session: w.session, Seq: w.seq, Token: w.token, NoticeS: w.notice,
+	}
+	for _, t := range w.tasks {
+		r.Tasks = append(r.Tasks, t.TaskReport)
+	}
+	return r
+}
+
+type verdict struct {
+	reply wire.ReportReply
+	to    string
+	ok    bool
+}
+
+func (w *Worker) reports() {
+	for {
+		w.mu.Lock()
+		rep := w.report()
+		node := w.opt.Nodes[w.node]
+		w.mu.Unlock()
+		sent := time.Now()
+		v, err := send(w.ctx, w.opt.Net, w.host.ID, node, 4*time.Second, func() (verdict, error) {
+			post := w.opt.Post(node)
+			if post == nil {
+				return verdict{}, errNoAnswer
+			}
+			reply, to, ok := post(w.ctx, rep)
+			return verdict{reply, to, ok}, nil
+		})
+		wait := w.opt.Report
+		w.mu.Lock()
+		switch {
+		case err == nil && v.ok:
+			if v.reply.Token >= w.token && rep.Session == w.session && time.Since(sent) < 4*time.Second {
+				w.token = v.reply.Token
+				w.renewed = sent
+				w.orders(v.reply.Orders)
+			}
+		case err == nil && slices.Contains(w.opt.Nodes, v.to) && v.to != node:
+			w.node = slices.Index(w.opt.Nodes, v.to)
+			wait = w.opt.Report / 6
+		default:
+			w.node = (w.node + 1) % len(w.opt.Nodes)
+			wait = time.Second
+		}
+		w.mu.Unlock()
+		if !sleep(w.ctx, w.opt.Report/6) {
+			return
+		}
+		select {
+		case <-w.changed:
+		case <-time.After(wait):
+		case <-w.ctx.Done():
+			return
+		}
+	}
+}
+
+func (w *Worker) find(task string) *held {
+	for _, t := range w.tasks {
+		if t.Task == task {
+			return t
+		}
+	}
+	return nil
+}
+
+// orders carries out commands; the caller holds the lock.
+func (w *Worker) orders(orders []wire.Order) {
+	for _, o := range orders {
+		t := w.find(o.Task)
+		switch o.Op {
+		case wire.OpStart:
+			if t == nil {
+				w.launch(o)
+			}
+		case wire.OpStop:
+			if t != nil && t.Attempt == o.Attempt && t.State != wire.TaskExited {
+				w.exit(t, wire.WhyStopped)
+			}
+		case wire.OpForget:
+			if t != nil && t.Attempt == o.Attempt && t.State == wire.TaskExited {
+				w.tasks = slices.DeleteFunc(w.tasks, func(x *held) bool { return x == t })
+				w.change()
+			}
+		}
+	}
+}
+
+func (w *Worker) launch(o wire.Order) {
+	t := &held{TaskReport: wire.TaskReport{Task: o.Task, Attempt: o.Attempt, State: wire.TaskFetching}}
+	ctx, stop := context.WithCancel(w.ctx)
+	t.stop = stop
+	w.tasks = append(w.tasks, t)
+	w.change()
+	run, forever, err := w.opt.Rules.RunTime(o.Task)
+	if err != nil {
+		w.exit(t, wire.WhyUnknown)
+		return
+	}
+	go func() {
+		defer stop()
+		if !sleep(ctx, w.opt.Fetch) {
+			return
+		}
+		w.mu.Lock()
+		if ctx.Err() == nil {
+			t.State, t.started = wire.TaskRunning, true
+			w.opt.Rules.Started(w.host, t.Task)
+			w.change()
+		}
+		w.mu.Unlock()
+		if forever || !sleep(ctx, run) {
+			return
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if ctx.Err() == nil {
+			w.opt.Rules.Completed(t.Task)
+			w.exit(t, wire.WhyDone)
+		}
+	}()
+}
+
+func (w *Worker) exit(t *held, why string) {
+	w.leave(t)
+	t.State, t.Why = wire.TaskExited, why
+	w.change()
+}
+
+// WorkerConn is one controller's way to the workers.
+type WorkerConn struct {
+	Cloud   *Cloud
+	Net     *Net
+	Node    string
+	Timeout time.Duration
+}
+
+// Do sends commands straight to a worker; they may be executed late or twice.
+func (c *WorkerConn) Do(ctx context.Context, addr string, cmd wire.Commands) (*wire.Report, error) {
+	w := c.Cloud.worker(addr)
+	if w == nil {
+		return nil, errors.New("no such machine")
+	}
+	return send(ctx, c.Net, c.Node, w.host.ID, c.Timeout, func() (*wire.Report, error) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.ctx.Err() != nil {
+			return nil, errNoAnswer
+		}
+		if cmd.Token >= w.token && cmd.Session == w.session {
+			w.token = cmd.Token
+			w.orders(cmd.Orders)
+		}
+		return w.report(), nil
+	})
+}
+
+// Inspect reads a worker's report.
+func (c *WorkerConn) Inspect(ctx context.Context, addr string) (*wire.Report, error) {
+	w := c.Cloud.worker(addr)
+	if w == nil {
+		return nil, errors.New("no such machine")
+	}
+	return send(ctx, c.Net, c.Node, w.host.ID, c.Timeout, func() (*wire.Report, error) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.ctx.Err() != nil {
+			return nil, errNoAnswer
+		}
+		return w.report(), nil
+	})
+}
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,134 @@
+package wire
+
+import (
+	"encoding/json"
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "lynxledge/internal/seeded"
+)
+
+func genJob(t *rapid.T) *Job {
+	name := rapid.StringMatching(`[a-z][a-z0-9-]{0,20}`)
+	amount := rapid.Float64Range(0, 1e6)
+	j := &Job{
+		ID: rapid.StringMatching(`req-[0-9]{6,12}`).Draw(t, "id"), Class: name.Draw(t, "class"), Team: name.Draw(t, "team"),
+		Shape: rapid.SampledFrom([]string{ShapeArray, ShapeService}).Draw(t, "shape"),
+		Rank:  Rank(rapid.IntRange(0, 3).Draw(t, "rank")), Tasks: rapid.IntRange(1, MaxTasks).Draw(t, "tasks"),
+		CPUs: rapid.Float64Range(0.1, 1e3).Draw(t, "cpus"), GPUs: amount.Draw(t, "gpus"), MemoryGB: amount.Draw(t, "mem"),
+		Image: name.Draw(t, "image"), ImageGB: amount.Draw(t, "gb"), EstimateS: amount.Draw(t, "estimate"),
+		OneZone: rapid.Bool().Draw(t, "one"), Spread: rapid.Bool().Draw(t, "spread"), Spot: rapid.Bool().Draw(t, "spot"),
+	}
+	if rapid.Bool().Draw(t, "limited") {
+		d := amount.Draw(t, "deadline")
+		j.DeadlineS, j.Zone = &d, name.Draw(t, "zone")
+		j.Types = rapid.SliceOfN(name, 1, 4).Draw(t, "types")
+	}
+	return j
+}
+
+func fields(t *rapid.T, j *Job) map[string]any {
+	b, err := json.Marshal(j)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := map[string]any{}
+	if err := json.Unmarshal(b, &m); err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+func TestJobSurvivesTheWire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		j := genJob(t)
+		m := fields(t, j)
+		m["unknown"] = []int{1}
+		if j.DeadlineS == nil {
+			m["dueS"], m["builds"], m["yard"] = nil, nil, nil
+		}
+		b, _ := json.Marshal(m)
+		got, err := ParseJob(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(got, j) {
+			t.Fatalf("got %+v, want %+v", got, j)
+		}
+	})
+}
+
+// One field missing, mistyped or out of range is always malformed.
+func TestJobWithOneBadField(t *testing.T) {
+	bad := map[string][]any{
+		"id": {"", 7, "req-12", "job-000412", "req-00041x"}, "lane": {"", 1}, "crew": {"", strings.Repeat("x", 200)},
+		"shape": {"group", 1}, "rank": {"urgent", 3}, "legs": {0, -1, MaxTasks + 1, 1.5, "4"}, "cores": {0, -1, "8", 1e12},
+		"gpus": {-1, "x"}, "memoryGb": {-1, true}, "bundle": {"", 3}, "sizeGb": {-0.5, "1"}, "oneZone": {"true", 1},
+		"scatter": {0}, "loaners": {"no"}, "expectS": {-1, "3"}, "waypointS": {-2}, "stashS": {-3, []int{}},
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		m := fields(t, genJob(t))
+		var names []string
+		for n := range bad {
+			names = append(names, n)
+		}
+		name := rapid.SampledFrom(names).Draw(t, "field")
+		if choice := rapid.IntRange(-2, len(bad[name])-1).Draw(t, "how"); choice == -2 {
+			delete(m, name)
+		} else if choice == -1 {
+			m[name] = nil
+		} else {
+			m[name] = bad[name][choice]
+		}
+		b, _ := json.Marshal(m)
+		if _, err := ParseJob(b); !errors.Is(err, ErrMalformed) {
+			t.Fatalf("%s accepted: %v", b, err)
+		}
+	})
+}
+
+func TestRubbishIsMalformed(t *testing.T) {
+	for _, s := range []string{"", "null", "[]", "{", `"x"`, `{} {}`, "\xff\xfe", `{"id":"req-000001"}`} {
+		if _, err := ParseJob([]byte(s)); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%q: %v", s, err)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		b := rapid.SliceOf(rapid.Byte()).Draw(t, "body")
+		if j, err := ParseJob(b); err == nil {
+			t.Fatalf("accepted as %+v", j)
+		}
+	})
+}
+
+func TestTaskNames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		id, n := rapid.StringMatching(`req-[0-9]{6,9}`).Draw(t, "id"), rapid.IntRange(0, MaxTasks-1).Draw(t, "n")
+		if j, m, ok := SplitTask(TaskName(id, n)); !ok || j != id || m != n {
+			t.Fatalf("%s %d became %s %d %v", id, n, j, m, ok)
+		}
+	})
+	for _, s := range []string{"req-000001", "req-000001/", "req-000001/-1", "req-000001/01", "req-000001/100000", "x/1", "req-000001/1/2"} {
+		if _, _, ok := SplitTask(s); ok {
+			t.Errorf("%q accepted", s)
+		}
+	}
+}
+
+func TestReportCheck(t *testing.T) {
+	neg := -1.0
+	for name, r := range map[string]Report{
+		"no machine": {Addr: "x:1", Type: "t", Zone: "z", Session: 1},
+		"slash":      {Machine: "a/b", Addr: "x:1", Type: "t", Zone: "z", Session: 1},
+		"no session": {Machine: "a", Addr: "x:1", Type: "t", Zone: "z"},
+		"notice":     {Machine: "a", Addr: "x:1", Type: "t", Zone: "z", Session: 1, NoticeS: &neg},
+	} {
+		if r.Check() == nil {
+			t.Errorf("%s accepted", name)
+		}
+	}
+}
