--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -70,7 +70,7 @@
 		workers: worker.New(report),
 	})
 	go func() {
-		if err := n.mesh.Serve(peers, n.front); err != nil {
+		if err := n.mesh.Serve(peers, n.front.Handler()); err != nil {
 			slog.Error("mesh server ended", "err", err)
 		}
 	}()
--- a/internal/frontdoor/frontdoor.go
+++ b/internal/frontdoor/frontdoor.go
@@ -28,11 +28,15 @@
 	tryAgain   = 400 * time.Millisecond // for refusals of the state service
 )
 
-// Peer asks another controller for a job's state.
+// Peer passes a request on to another controller that has state.
 type Peer interface {
-	Status(ctx context.Context, id string) (*wire.JobStatus, bool, error)
+	Forward(ctx context.Context, method, path string, body []byte) (status int, answer []byte, err error)
 }
 
+// Forwarded marks requests that another controller passed on; they are not
+// passed on again.
+const Forwarded = "Lynxledge-Forwarded"
+
 // Front is the actor that knows the jobs as users see them.
 type Front struct {
 	*actor.Actor
@@ -40,6 +44,7 @@
 	ledger  *ledger.Ledger
 	reports *reports.Reports
 	peer    Peer
+	stale   time.Duration // a view older than this is not worth a commit
 
 	view  *ledger.View
 	fresh time.Time
@@ -50,7 +55,8 @@
 func Start(ctx context.Context, cfg *config.Config, l *ledger.Ledger, r *reports.Reports, peer Peer) *Front {
 	f := &Front{
 		Actor: actor.Start(ctx, "frontdoor", 512), cfg: cfg, ledger: l, reports: r, peer: peer,
-		view: ledger.NewView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
+		stale: config.Secs(cfg.Params.Workers.ReportS),
+		view:  ledger.NewView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
 	}
 	l.Subscribe(func(d ledger.Delta) {
 		f.Send(func() {
@@ -178,6 +184,18 @@
 	return l, nil
 }
 
+// relay passes a request on when this node can't answer for want of state;
+// without a controller that can, the user is told at once to come back.
+func (f *Front) relay(ctx context.Context, w http.ResponseWriter, r *http.Request, body []byte) {
+	if f.peer != nil && r.Header.Get(Forwarded) == "" {
+		if status, b, err := f.peer.Forward(ctx, r.Method, r.URL.Path, body); err == nil && status < http.StatusInternalServerError {
+			answer(w, status, json.RawMessage(b))
+			return
+		}
+	}
+	later(w, errNoState.Error())
+}
+
 func (f *Front) poll(w http.ResponseWriter, r *http.Request) {
 	id := chi.URLParam(r, "id")
 	if !wire.ValidJobID(id) {
@@ -187,15 +205,9 @@
 	ctx, cancel := context.WithTimeout(r.Context(), answerWait)
 	defer cancel()
 	l, err := f.current(ctx, id)
-	if err != nil && f.peer != nil {
-		var s *wire.JobStatus
-		if s, l.known, err = f.peer.Status(ctx, id); s != nil {
-			l.status = *s
-		}
-	}
 	switch {
 	case err != nil:
-		later(w, errNoState.Error())
+		f.relay(ctx, w, r, nil)
 	case !l.known:
 		refuse(w, http.StatusNotFound, "no such job")
 	default:
@@ -203,16 +215,6 @@
 	}
 }
 
-// Status answers another controller's question; an error when this one can't
-// tell either.
-func (f *Front) Status(ctx context.Context, id string) (*wire.JobStatus, bool, error) {
-	l, err := f.current(ctx, id)
-	if err != nil || !l.known {
-		return nil, false, err
-	}
-	return &l.status, true, nil
-}
-
 func (f *Front) submit(w http.ResponseWriter, r *http.Request) {
 	b, ok := body(w, r)
 	if !ok {
@@ -227,7 +229,7 @@
 		return
 	}
 	if l, ok := f.look(id); ok && l.known {
-		f.known(ctx, w, id)
+		f.known(ctx, w, r, id, b)
 		return
 	}
 	status, why := http.StatusBadRequest, ""
@@ -246,7 +248,7 @@
 		l, err := f.current(ctx, id)
 		switch {
 		case err != nil:
-			later(w, errNoState.Error())
+			f.relay(ctx, w, r, b)
 		case l.known:
 			answer(w, http.StatusOK, l.status)
 		default:
@@ -254,13 +256,13 @@
 		}
 		return
 	}
-	f.accept(ctx, w, job)
+	f.accept(ctx, w, r, job, b)
 }
 
-func (f *Front) known(ctx context.Context, w http.ResponseWriter, id string) {
+func (f *Front) known(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, body []byte) {
 	l, err := f.current(ctx, id)
 	if err != nil || !l.known {
-		later(w, errNoState.Error())
+		f.relay(ctx, w, r, body)
 		return
 	}
 	answer(w, http.StatusOK, l.status)
@@ -302,7 +304,11 @@
 	return false
 }
 
-func (f *Front) accept(ctx context.Context, w http.ResponseWriter, j *wire.Job) {
+func (f *Front) accept(ctx context.Context, w http.ResponseWriter, r *http.Request, j *wire.Job, body []byte) {
+	if time.Since(f.ledger.Fresh()) > f.stale {
+		f.relay(ctx, w, r, body) // a commit would only hang
+		return
+	}
 	key := ledger.Key(ledger.KindJob, j.ID)
 	out, ok := f.commit(ctx, ledger.Commit{
 		Guards:   []wire.Guard{{Key: key}},
@@ -314,14 +320,16 @@
 		slog.Debug("job accepted", "job", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks, "image", j.Image, "gb", j.ImageGB)
 		answer(w, http.StatusCreated, wire.JobStatus{ID: j.ID, State: wire.JobQueued})
 	case ok && out == ledger.Conflicted:
-		f.known(ctx, w, j.ID)
+		f.known(ctx, w, r, j.ID, body)
 	default:
-		later(w, errNoState.Error())
+		f.relay(ctx, w, r, body)
 	}
 }
 
 // commit makes a change on behalf of a waiting user.
 func (f *Front) commit(ctx context.Context, c ledger.Commit) (ledger.Outcome, bool) {
+	ctx, cancel := context.WithTimeout(ctx, 2*tryAgain)
+	defer cancel()
 	ch := make(chan ledger.Outcome, 1)
 	f.ledger.Commit(c, func(out ledger.Outcome) { ch <- out })
 	select {
@@ -376,7 +384,7 @@
 			break
 		}
 	}
-	later(w, errNoState.Error())
+	f.relay(ctx, w, r, nil)
 }
 
 // ready answers 200 while the view is fresh enough to serve users.
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -117,12 +117,15 @@
 	Gone    []Gone  `json:"gone,omitempty"`
 	Drain   string  `json:"drain,omitempty"` // why nothing new may be bound
 	Closed  bool    `json:"closed,omitempty"`
-	At      int64   `json:"at"` // time of day of the rental, ms
-	Stamp   uint64  `json:"-"`
+	// Quiet: the leader hears nothing of the machine. Whoever does hear it
+	// takes the mark away; a machine is returned as silent only with the mark.
+	Quiet bool   `json:"quiet,omitempty"`
+	At    int64  `json:"at"` // time of day of the rental, ms
+	Stamp uint64 `json:"-"`
 }
 
 // Open tells whether tasks may be bound to the machine.
-func (b *Bind) Open() bool { return b.Session > 0 && b.Drain == "" && !b.Closed }
+func (b *Bind) Open() bool { return b.Session > 0 && b.Drain == "" && !b.Closed && !b.Quiet }
 
 // Find returns the bound task of this name, or nil.
 func (b *Bind) Find(job string, n int) *Bound {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -4,6 +4,7 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -19,6 +20,7 @@
 
 	"lynxledge/internal/actor"
 	"lynxledge/internal/config"
+	"lynxledge/internal/frontdoor"
 	"lynxledge/wire"
 )
 
@@ -29,11 +31,6 @@
 	Heard  []string `json:"heard,omitempty"`
 }
 
-// Front answers other controllers' questions about jobs.
-type Front interface {
-	Status(ctx context.Context, id string) (*wire.JobStatus, bool, error)
-}
-
 // Mesh is the actor that knows the other controllers.
 type Mesh struct {
 	*actor.Actor
@@ -149,20 +146,10 @@
 }
 
 // Serve answers the others' streams and questions until ctx ends.
-func (m *Mesh) Serve(l net.Listener, front Front) error {
+func (m *Mesh) Serve(l net.Listener, front http.Handler) error {
 	r := chi.NewRouter()
 	r.Post("/beats", m.beats)
-	r.Get("/work/{id}", func(w http.ResponseWriter, req *http.Request) {
-		s, known, err := front.Status(req.Context(), chi.URLParam(req, "id"))
-		switch {
-		case err != nil:
-			w.WriteHeader(http.StatusServiceUnavailable)
-		case !known:
-			w.WriteHeader(http.StatusNotFound)
-		default:
-			_ = json.NewEncoder(w).Encode(s)
-		}
-	})
+	r.Mount("/", front)
 	srv := &http.Server{
 		Handler: r, Protocols: h2c(), ReadHeaderTimeout: 4 * m.period,
 		HTTP2: &http.HTTP2Config{SendPingTimeout: 2 * m.period, PingTimeout: 2 * m.period},
@@ -223,30 +210,22 @@
 	return ""
 }
 
-// Status asks a controller that has state for a job.
-func (m *Mesh) Status(ctx context.Context, id string) (*wire.JobStatus, bool, error) {
+// Forward passes a user's request on to a controller that has state.
+func (m *Mesh) Forward(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
 	p := m.best.Load()
 	if p == nil {
-		return nil, false, errors.New("no controller with state is known")
+		return 0, nil, errors.New("no controller with state is known")
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Addr+"/work/"+id, nil)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.Addr+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, false, err
+		return 0, nil, err
 	}
+	req.Header.Set(frontdoor.Forwarded, m.cfg.Name)
 	resp, err := m.client.Do(req)
 	if err != nil {
-		return nil, false, err
+		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	switch resp.StatusCode {
-	case http.StatusOK:
-		var s wire.JobStatus
-		if err := json.NewDecoder(io.LimitReader(resp.Body, wire.MaxBody)).Decode(&s); err != nil {
-			return nil, false, err
-		}
-		return &s, true, nil
-	case http.StatusNotFound:
-		return nil, false, nil
-	}
-	return nil, false, errors.New(resp.Status)
+	b, err := io.ReadAll(io.LimitReader(resp.Body, wire.MaxBody))
+	return resp.StatusCode, b, err
 }
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -52,19 +52,22 @@
 	active  map[string]*ledger.Job
 	since   map[string]time.Time
 	heard   map[string]time.Time
+	marked  map[string]time.Time // when a machine was marked quiet
+	marking bool
 	refused map[plan.Pool]time.Time
 
-	term     uint64 // of the leadership that this state belongs to
-	took     time.Time
-	hires    int
-	hiring   map[string]bool
-	closing  map[string]bool
-	probing  map[string]bool
-	deleted  map[string]time.Time
-	again    bool // a pool ran short: plan again without it
-	listing  bool
-	hosts    map[string]wire.Host
-	listedAt time.Time
+	term       uint64 // of the leadership that this state belongs to
+	took       time.Time
+	hires      int
+	hiring     map[string]bool
+	closing    map[string]bool
+	probing    map[string]bool
+	unanswered map[string]time.Time // when a probe failed last
+	deleted    map[string]time.Time
+	again      bool // a pool ran short: plan again without it
+	listing    bool
+	hosts      map[string]wire.Host
+	listedAt   time.Time
 }
 
 // Start runs the actor; it acts only while this process leads.
@@ -72,9 +75,9 @@
 	r := &Renter{
 		Actor: actor.Start(ctx, "renter", 256), ctx: ctx, cfg: cfg, boot: boot, ledger: l, cloud: c, prober: p, report: report,
 		view:   ledger.NewView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
-		active: map[string]*ledger.Job{}, since: map[string]time.Time{}, heard: map[string]time.Time{},
+		active: map[string]*ledger.Job{}, since: map[string]time.Time{}, heard: map[string]time.Time{}, marked: map[string]time.Time{},
 		refused: map[plan.Pool]time.Time{}, hiring: map[string]bool{}, closing: map[string]bool{},
-		probing: map[string]bool{}, deleted: map[string]time.Time{},
+		probing: map[string]bool{}, unanswered: map[string]time.Time{}, deleted: map[string]time.Time{},
 	}
 	l.Subscribe(func(d ledger.Delta) { r.Send(func() { r.apply(d) }) })
 	r.Every(config.Secs(cfg.Ops.PassS), r.pass)
@@ -115,7 +118,8 @@
 
 func (r *Renter) bindChanged(c ledger.Change, now time.Time) {
 	b, _ := c.Rec.(*ledger.Bind)
-	if old := r.view.Binds[c.Name]; old != nil {
+	old := r.view.Binds[c.Name]
+	if old != nil {
 		for i := range old.Tasks {
 			if t := &old.Tasks[i]; b == nil || b.Find(t.Job, t.N) == nil {
 				delete(r.since, t.Name())
@@ -124,11 +128,16 @@
 	}
 	if b == nil {
 		delete(r.heard, c.Name)
+		delete(r.marked, c.Name)
+		delete(r.unanswered, c.Name)
 		r.deleted[c.Name] = now
 		return
 	}
-	if _, ok := r.heard[c.Name]; !ok && b.Session > 0 {
-		r.heard[c.Name] = now
+	if _, ok := r.heard[c.Name]; !ok && b.Session > 0 || old != nil && old.Quiet && !b.Quiet {
+		r.heard[c.Name] = now // somebody hears it
+	}
+	if b.Quiet && (old == nil || !old.Quiet) {
+		r.marked[c.Name] = now
 	}
 	for i := range b.Tasks {
 		if _, ok := r.since[b.Tasks[i].Name()]; !ok {
@@ -205,19 +214,15 @@
 				break
 			}
 		}
-		zones := place.Zones{}
-		for _, m := range r.view.Bound[id] {
-			zones[r.view.Binds[m].Zone]++
-		}
 		in.Demands = append(in.Demands, plan.Demand{
-			Job: j.Spec, Count: r.limited(j, n), RunS: j.Spec.EstimateS, Zones: zones,
+			Job: j.Spec, Count: r.limited(j, n), RunS: j.Spec.EstimateS, Zones: r.zones(id),
 			DeadlineS: due, Overdue: age > overdueTimes*deadlines[len(deadlines)-1],
 		})
 	}
 	for name, b := range r.view.Binds {
 		m := plan.Machine{
 			Name: name, Pool: plan.Pool{Type: b.Type, Zone: b.Zone, Spot: b.Spot},
-			AgeS: (float64(now.UnixMilli()) - float64(b.At)) / 1000, Open: b.Drain == "" && !b.Closed,
+			AgeS: (float64(now.UnixMilli()) - float64(b.At)) / 1000, Open: b.Drain == "" && !b.Closed && !b.Quiet,
 		}
 		if b.Session == 0 {
 			m.ReadyS = math.Max(0, r.bootS(b.Type)-m.AgeS)
@@ -228,6 +233,11 @@
 			if j == nil || j.Spec == nil {
 				continue
 			}
+			if b.Quiet && j.Active() && j.Spec.Service() { // may have to be replaced
+				zones := r.zones(t.Job)
+				zones[b.Zone]--
+				in.Demands = append(in.Demands, plan.Demand{Job: j.Spec, Count: 1, Zones: zones})
+			}
 			left := math.Inf(1)
 			if !j.Spec.Service() {
 				left = math.Max(0, j.Spec.EstimateS-now.Sub(r.since[t.Name()]).Seconds())
@@ -433,7 +443,7 @@
 	now := time.Now()
 	report := config.Secs(r.cfg.Params.Workers.ReportS)
 	silence := time.Duration(float64(report) * r.cfg.Ops.Silence)
-	var silent []string
+	var silent, quiet []string
 	up := 0
 	for m, b := range r.view.Binds {
 		age := now.Sub(time.UnixMilli(b.At))
@@ -446,24 +456,104 @@
 			}
 		default:
 			up++
-			quiet := now.Sub(r.heard[m])
-			if quiet > 2*report {
+			since := now.Sub(r.heard[m])
+			if since > report*3/2 {
 				r.probe(m, b)
 			}
-			if quiet > silence {
+			if since > silence*2/3 && !b.Quiet {
+				quiet = append(quiet, m)
+			}
+			if since > silence && r.unanswered[m].After(r.heard[m]) {
 				silent = append(silent, m)
 			}
 		}
 	}
+	r.mark(quiet)
+	// By then a machine that was only cut off has ended its tasks itself.
+	lost := config.Secs(r.cfg.Params.Workers.LeaseS) + silence
 	for _, m := range silent {
+		// A leader that is cut off from the workers hears none, and then the
+		// mesh may be silent too: others had the time to take the mark away.
+		if !r.view.Binds[m].Quiet || now.Sub(r.marked[m]) < report*4/3 {
+			continue
+		}
 		// When most machines are silent, the fault is more likely ours.
 		if 2*len(silent) > up && now.Sub(r.heard[m]) < config.Secs(2*r.cfg.Params.Workers.LeaseS) {
 			continue
 		}
+		if now.Sub(r.heard[m]) < lost && !r.replaceable(m) {
+			continue
+		}
 		r.close(m, "silent")
 	}
 }
 
+// replaceable tells whether most replicas of a silent machine have room on
+// others. If not, it is kept for as long as its lease may run: a machine that
+// is cut off goes on serving, and a new one takes its time to boot.
+func (r *Renter) replaceable(silent string) bool {
+	types := map[string]*wire.MachineType{}
+	for i := range r.types {
+		types[r.types[i].Name] = &r.types[i]
+	}
+	var nodes []*place.Node
+	for m, b := range r.view.Binds {
+		if m == silent || types[b.Type] == nil || !b.Open() {
+			continue
+		}
+		n := &place.Node{Name: m, Type: types[b.Type], Zone: b.Zone, Spot: b.Spot, Image: func(string) bool { return true }}
+		for i := range b.Tasks {
+			// Work of lower rank makes room.
+			if j := r.view.Jobs[b.Tasks[i].Job]; j != nil && j.Spec != nil && j.Spec.Rank == wire.RankProd {
+				n.Used = n.Used.Plus(place.Of(j.Spec), 1)
+			}
+		}
+		nodes = append(nodes, n)
+	}
+	replicas, placed := 0, 0
+	for _, t := range r.view.Binds[silent].Tasks {
+		j := r.view.Jobs[t.Job]
+		if j == nil || !j.Active() || !j.Spec.Service() {
+			continue
+		}
+		replicas++
+		zones := r.zones(t.Job)
+		zones[r.view.Binds[silent].Zone]--
+		if n := place.Pick(j.Spec, zones, place.Offers{}, nodes); n != nil {
+			n.Used = n.Used.Plus(place.Of(j.Spec), 1)
+			placed++
+		}
+	}
+	return 2*placed >= replicas
+}
+
+// zones counts a job's bound tasks by zone.
+func (r *Renter) zones(job string) place.Zones {
+	z := place.Zones{}
+	for _, m := range r.view.Bound[job] {
+		z[r.view.Binds[m].Zone]++
+	}
+	return z
+}
+
+// mark asks, through the state service, whether anybody hears these machines.
+func (r *Renter) mark(quiet []string) {
+	if r.marking || len(quiet) == 0 {
+		return
+	}
+	c := ledger.Commit{Guards: []wire.Guard{r.guard()}}
+	for _, m := range quiet[:min(len(quiet), r.cfg.Params.State.TxnOps)] {
+		b := r.view.Binds[m]
+		next := b.Next(r.view.CurrentTerm())
+		next.Quiet = true
+		key := ledger.Key(ledger.KindBind, m)
+		c.Guards = append(c.Guards, wire.Guard{Key: key, Version: b.Stamp})
+		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: next})
+	}
+	r.marking = true
+	r.ledger.Commit(c, func(ledger.Outcome) { r.Send(func() { r.marking = false }) })
+}
+
 func (r *Renter) bootS(typ string) float64 {
 	for i := range r.types {
 		if r.types[i].Name == typ {
@@ -482,6 +572,9 @@
 		rep, err := r.prober.Inspect(r.ctx, b.Addr)
 		r.Send(func() {
 			delete(r.probing, m)
+			if err != nil {
+				r.unanswered[m] = time.Now()
+			}
 			if err == nil && rep.Machine == m {
 				r.heard[m] = time.Now()
 				r.report(rep)
--- a/internal/reports/reconcile.go
+++ b/internal/reports/reconcile.go
@@ -14,12 +14,13 @@
 	Fence  []string      // tasks of cancelled jobs that a late launch could still start
 	Joined bool          // the report opens a session that the record doesn't know
 	Behind bool          // the worker has seen a token beyond the record's
+	Back   bool          // the record says that the machine is quiet
 	Notice bool          // the cloud will take the machine, which the record doesn't know
 }
 
 // Changes tells whether the record has to be rewritten.
 func (p *Proof) Changes() bool {
-	return len(p.Gone) > 0 || len(p.Fence) > 0 || p.Joined || p.Behind || p.Notice
+	return len(p.Gone) > 0 || len(p.Fence) > 0 || p.Joined || p.Behind || p.Back || p.Notice
 }
 
 // Reconcile compares a machine's record with a report. Only an ended entry, a
@@ -31,6 +32,7 @@
 	if rep.Session < rec.Session {
 		return p // a report from before the worker's lease ended
 	}
+	p.Back = rec.Quiet && !rec.Closed
 	p.Behind = rep.Token > rec.Token
 	if rep.Session > rec.Session {
 		p.Joined = true
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -300,6 +300,7 @@
 	if proof.Joined {
 		next.Session, next.Addr = rep.Session, rep.Addr
 	}
+	next.Quiet = next.Quiet && !proof.Back
 	if proof.Notice {
 		next.Drain = "spot notice"
 	}
