--- /dev/null
+++ b/internal/frontdoor/frontdoor_test.go
@@ -0,0 +1,120 @@
+package frontdoor
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lynxledge/internal/config"
+	"lynxledge/internal/ledger"
+	"lynxledge/internal/standin"
+	"lynxledge/wire"
+)
+
+const job = `{"id":"req-000412","lane":"train","crew":"red","shape":"array","rank":"high","legs":2,
+"cores":2.0,"gpus":0.0,"memoryGb":4.0,"bundle":"img","sizeGb":1,"builds":null,"yard":null,"oneZone":false,
+"scatter":false,"loaners":true,"expectS":10,"waypointS":0,"stashS":0,"dueS":null}`
+
+type door struct {
+	t     *testing.T
+	state *standin.State
+	front *Front
+}
+
+// open runs f with a front door over a state service of its own.
+func open(t *testing.T, f func(d *door)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		cfg := &config.Config{Ops: config.DefaultOps()}
+		cfg.Params.Workers = config.Workers{ReportS: 3, LeaseS: 34, CancelS: 64}
+		cfg.Params.State = config.State{ValueKB: 8, TxnOps: 8}
+		cfg.Params.Teams = []config.Team{{Name: "red", CPUsMax: 6}}
+		s := standin.NewState()
+		conn := &standin.Conn{State: s, Net: standin.NewNet(1, time.Millisecond), Node: "n0", Timeout: time.Second}
+		l := ledger.Start(ctx, conn, ledger.Options{ChunkTasks: ledger.ChunkTasks(8), Hold: time.Second, MaxAge: time.Second, Backoff: 100 * time.Millisecond})
+		front := Start(ctx, cfg, l, nil, nil)
+		l.Run()
+		time.Sleep(time.Second)
+		f(&door{t, s, front})
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
+func (d *door) types() {
+	d.front.SetTypes([]wire.MachineType{{Name: "s", CPUs: 4, MemoryGB: 16, Zones: []string{"a"}}})
+}
+
+// ask sends a request and checks its status; refusals must come at once and
+// say when to come back.
+func (d *door) ask(method, path, body string, want int, state string) {
+	d.t.Helper()
+	begun := time.Now()
+	rec := httptest.NewRecorder()
+	d.front.Handler().ServeHTTP(rec, httptest.NewRequest(method, path, strings.NewReader(body)))
+	if rec.Code != want {
+		d.t.Errorf("%s %s: %d %s, want %d", method, path, rec.Code, rec.Body, want)
+	}
+	if rec.Code == http.StatusServiceUnavailable && (rec.Header().Get("Retry-After") == "" || time.Since(begun) > answerWait) {
+		d.t.Errorf("%s %s: refused after %v, Retry-After %q", method, path, time.Since(begun), rec.Header().Get("Retry-After"))
+	}
+	var s wire.JobStatus
+	if _ = json.Unmarshal(rec.Body.Bytes(), &s); s.State != state {
+		d.t.Errorf("%s %s: %s, want %q", method, path, rec.Body, state)
+	}
+}
+
+func with(old, new string) string { return strings.Replace(job, old, new, 1) }
+
+func TestSubmissions(t *testing.T) {
+	open(t, func(d *door) {
+		d.ask("POST", "/work", job, 503, "") // machine types not known yet
+		d.types()
+		d.ask("POST", "/work", "{", 400, "")
+		d.ask("POST", "/work", "[1]", 400, "")
+		d.ask("POST", "/work", with(`"legs":2`, `"legs":0`), 400, "")
+		d.ask("POST", "/work", strings.Repeat(" ", wire.MaxBody)+job, 400, "")
+		d.ask("POST", "/work", with(`"crew":"red"`, `"crew":"green"`), 422, "")
+		d.ask("POST", "/work", with(`"cores":2.0`, `"cores":5.0`), 422, "")
+		d.ask("POST", "/work", with(`"yard":null`, `"yard":"moon"`), 422, "")
+		d.ask("POST", "/work", with(`"builds":null`, `"builds":["x"]`), 422, "")
+		d.ask("POST", "/work", strings.Replace(with(`"shape":"array"`, `"shape":"service"`), `"legs":2`, `"legs":4`, 1), 422, "")
+		d.ask("GET", "/work/req-000412", "", 404, "")
+		d.ask("POST", "/work", job, 201, wire.JobQueued)
+		// A repeat is known, whatever its body says.
+		d.ask("POST", "/work", job, 200, wire.JobQueued)
+		d.ask("POST", "/work", with(`"crew":"red"`, `"crew":"green"`), 200, wire.JobQueued)
+		d.ask("POST", "/work", `{"id":"req-000412","legs":"many"}`, 200, wire.JobQueued)
+	})
+}
+
+func TestCancelAndOutage(t *testing.T) {
+	open(t, func(d *door) {
+		d.types()
+		d.ask("POST", "/work/req-000412/abort", "", 404, "")
+		d.ask("POST", "/work/nonsense/abort", "", 404, "")
+		d.ask("POST", "/work", job, 201, wire.JobQueued)
+		d.ask("POST", "/work", with("000412", "000413"), 201, wire.JobQueued)
+		d.ask("POST", "/work/req-000412/abort", "", 200, wire.JobCancelled)
+		d.ask("POST", "/work/req-000412/abort", "", 200, wire.JobCancelled)
+		d.ask("GET", "/work/req-000412", "", 200, wire.JobCancelled)
+		d.state.SetDown(true)
+		time.Sleep(5 * time.Second)
+		d.ask("GET", "/work/req-000412", "", 200, wire.JobCancelled) // final: from memory
+		d.ask("GET", "/work/req-000413", "", 503, "")
+		d.ask("GET", "/work/req-000999", "", 503, "") // certain only with state
+		d.ask("GET", "/work/nonsense", "", 404, "")
+		d.ask("POST", "/work", with("000412", "000414"), 503, "")
+		d.ask("POST", "/work/req-000413/abort", "", 503, "")
+		d.state.SetDown(false)
+		time.Sleep(5 * time.Second)
+		d.ask("GET", "/work/req-000413", "", 200, wire.JobQueued)
+		d.ask("GET", "/work/req-000414", "", 404, "")
+	})
+}
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -53,6 +53,10 @@
 	gb   float64
 }
 
+// probeAfter is the number of failures since a success after which a job's
+// tasks are tried one at a time: it may have been submitted with a mistake.
+const probeAfter = 3
+
 // failure backs a job off after tasks of it failed.
 type failure struct {
 	count    int
@@ -355,6 +359,7 @@
 type batch struct {
 	binds  map[string]*ledger.Bind
 	jobs   map[string]uint64
+	placed map[string]int
 	hands  map[string]uint64
 	starts map[string][]wire.Order
 	stops  map[string][]wire.Order
@@ -376,7 +381,7 @@
 	}
 	c := p.cluster(now)
 	b := &batch{
-		binds: map[string]*ledger.Bind{}, jobs: map[string]uint64{}, hands: map[string]uint64{},
+		binds: map[string]*ledger.Bind{}, jobs: map[string]uint64{}, placed: map[string]int{}, hands: map[string]uint64{},
 		starts: map[string][]wire.Order{}, stops: map[string][]wire.Order{},
 	}
 	for _, w := range q {
@@ -410,7 +415,11 @@
 			sample = rest
 		}
 	}
+	failing := p.failed[w.id] != nil && p.failed[w.id].count >= probeAfter
 	for n := p.low[w.id]; n < w.job.Tasks; n++ {
+		if failing && len(p.view.Bound[w.id])+b.placed[w.id] > 0 {
+			return true // one at a time until one succeeds
+		}
 		if p.view.IsDone(w.id, n) {
 			if n == p.low[w.id] {
 				p.low[w.id] = n + 1
@@ -487,6 +496,7 @@
 	}
 	b.jobs[w.id] = w.job.Stamp
 	b.hands[w.job.Spec.Team] = w.hand
+	b.placed[w.id]++
 	b.starts[node.Name] = append(b.starts[node.Name], wire.Order{Op: wire.OpStart, Task: t.Name(), Attempt: t.Attempt})
 	return true
 }
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -52,7 +52,8 @@
 	active  map[string]*ledger.Job
 	since   map[string]time.Time
 	heard   map[string]time.Time
-	marked  map[string]time.Time // when a machine was marked quiet
+	marked  map[string]time.Time       // when a machine was marked quiet
+	errors  map[string]map[string]bool // machine: jobs that failed on it since a success
 	marking bool
 	refused map[plan.Pool]time.Time
 
@@ -75,7 +76,7 @@
 	r := &Renter{
 		Actor: actor.Start(ctx, "renter", 256), ctx: ctx, cfg: cfg, boot: boot, ledger: l, cloud: c, prober: p, report: report,
 		view:   ledger.NewView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
-		active: map[string]*ledger.Job{}, since: map[string]time.Time{}, heard: map[string]time.Time{}, marked: map[string]time.Time{},
+		active: map[string]*ledger.Job{}, since: map[string]time.Time{}, heard: map[string]time.Time{}, marked: map[string]time.Time{}, errors: map[string]map[string]bool{},
 		refused: map[plan.Pool]time.Time{}, hiring: map[string]bool{}, closing: map[string]bool{},
 		probing: map[string]bool{}, unanswered: map[string]time.Time{}, deleted: map[string]time.Time{},
 	}
@@ -129,6 +130,7 @@
 	if b == nil {
 		delete(r.heard, c.Name)
 		delete(r.marked, c.Name)
+		delete(r.errors, c.Name)
 		delete(r.unanswered, c.Name)
 		r.deleted[c.Name] = now
 		return
@@ -136,6 +138,7 @@
 	if _, ok := r.heard[c.Name]; !ok && b.Session > 0 || old != nil && old.Quiet && !b.Quiet {
 		r.heard[c.Name] = now // somebody hears it
 	}
+	r.judge(c.Name, b)
 	if b.Quiet && (old == nil || !old.Quiet) {
 		r.marked[c.Name] = now
 	}
@@ -146,6 +149,36 @@
 	}
 }
 
+// judge tells a faulty machine from a faulty job: a job fails on every
+// machine, a faulty machine fails whatever job it is given.
+func (r *Renter) judge(m string, b *ledger.Bind) {
+	for _, g := range b.Gone {
+		job, _, _ := wire.SplitTask(g.Task)
+		switch g.Why {
+		case wire.WhyDone:
+			delete(r.errors, m)
+		case wire.WhyError:
+			if r.errors[m] == nil {
+				r.errors[m] = map[string]bool{}
+			}
+			r.errors[m][job] = true
+		}
+	}
+	if len(r.errors[m]) >= faultyJobs && b.Drain == "" && r.leads() {
+		slog.Warn("machine looks faulty", "machine", m, "type", b.Type, "zone", b.Zone, "failed_jobs", len(r.errors[m]))
+		next := b.Next(r.view.CurrentTerm())
+		next.Drain = "faulty"
+		key := ledger.Key(ledger.KindBind, m)
+		r.ledger.Commit(ledger.Commit{
+			Guards: []wire.Guard{r.guard(), {Key: key, Version: b.Stamp}},
+			Puts:   []ledger.Put{{Key: key, Rec: next}},
+		}, func(ledger.Outcome) {})
+	}
+}
+
+// faultyJobs is how many jobs must fail on a machine, with no success between.
+const faultyJobs = 3
+
 // leads tells whether this process leads and its view can be trusted.
 func (r *Renter) leads() bool {
 	if !election.Leading(r.view, r.boot) || time.Since(r.fresh) > config.Secs(2*r.cfg.Params.Workers.ReportS) {
@@ -191,6 +224,11 @@
 	for _, m := range p.Return {
 		r.close(m, "idle")
 	}
+	for m, b := range r.view.Binds {
+		if b.Drain != "" && !b.Closed && b.Session > 0 && len(b.Tasks) == 0 {
+			r.close(m, b.Drain)
+		}
+	}
 }
 
 // input puts together what the plan looks at.
