--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -65,7 +65,7 @@
 	p, ops := cfg.Params, cfg.Ops
 	report := config.Secs(p.Workers.ReportS)
 	n := assemble(ctx, cfg, rand.Uint64()>>1, links{
-		state:   state.New(cfg.External.State, p.State.RPS, p.State.WriteRPS, ops.StateShare, p.State.TxnOps, report/2),
+		state:   state.New(cfg.External.State, p.State.RPS, p.State.WriteRPS, p.State.TxnOps, report/2),
 		cloud:   cloud.New(cfg.External.Cloud, p.Cloud.RPS, ops.CloudShare, 2*report),
 		workers: worker.New(report),
 	})
@@ -109,17 +109,22 @@
 	slog.Info("starting", "member", cfg.Name, "zone", cfg.Zone, "boot", boot)
 
 	led := ledger.Start(ctx, to.state, ledger.Options{
-		ChunkTasks: chunk, Hold: 5 * report, Gap: report / 120, Refresh: refreshPause(cfg),
+		ChunkTasks: chunk, Hold: 5 * report, Gap: readPause(cfg, watchShare), Refresh: readPause(cfg, refreshShare),
 		MaxAge: report / 2, Backoff: report / 30,
 	})
 	msh := mesh.Start(ctx, cfg, led.Fresh)
-	rep := reports.Start(ctx, cfg, led, msh.Elsewhere)
+	var placer *place.Placer
+	rep := reports.Start(ctx, cfg, boot, led, reports.Links{
+		Elsewhere: msh.Elsewhere, Alone: msh.Alone, Tell: msh.Tell,
+		Note: func(n place.Note, wait time.Duration) { placer.Note(n, wait) },
+	})
+	placer = place.Start(ctx, cfg, boot, led, to.workers, rep.Handle)
 	front := frontdoor.Start(ctx, cfg, led, rep, msh)
-	placer := place.Start(ctx, cfg, boot, led, to.workers, rep.Handle)
 	renter := rent.Start(ctx, cfg, boot, led, to.cloud, to.workers, rep.Handle)
 	rep.Heard(msh.Heard)
 	rep.Heard(renter.Heard)
 	msh.OnHeard(renter.Heard)
+	msh.OnNote(func(n place.Note) { placer.Note(n, 0) })
 	election.Start(ctx, to.state, led, election.Options{
 		Name: cfg.Name, Boot: boot, TTL: time.Duration(float64(report) * ops.MemberLease),
 		Teams: teams(p.Teams), MaxOps: p.State.TxnOps, Chunk: chunk,
@@ -133,11 +138,17 @@
 	return node{front, msh}
 }
 
-// refreshPause lets reads of the state that users wait for take a tenth of
-// its rate, over all controllers.
-func refreshPause(cfg *config.Config) time.Duration {
-	n := float64(len(cfg.Peers) + 1)
-	return config.Secs(n / (cfg.Params.State.RPS * 0.2))
+// Shares of the state service's rate that all controllers together use to
+// follow it, and to answer users.
+const (
+	watchShare   = 0.3
+	refreshShare = 0.2
+)
+
+// readPause is the least time between two reads of this controller so that all
+// of them keep to a share of the rate.
+func readPause(cfg *config.Config, share float64) time.Duration {
+	return config.Secs(float64(len(cfg.Peers)+1) / (cfg.Params.State.RPS * share))
 }
 
 func teams(ts []config.Team) []string {
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -180,11 +180,11 @@
 	})
 }
 
-// hand gives teams without a live controller a new one and evens them out.
+// hand gives teams without a live controller a new one.
 func (e *Election) hand() {
 	teams := Teams(e.opt.Teams, e.view.Jobs)
 	c := ledger.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Version: e.view.Leader.Stamp}}}
-	for team, member := range Assign(teams, e.view.Hands, e.view.Members) {
+	for team, member := range Assign(teams, e.view.Hands, e.view.Members, e.view.Leader.Member) {
 		if len(c.Puts) == e.opt.MaxOps {
 			break
 		}
@@ -214,33 +214,37 @@
 	return teams
 }
 
-// Assign names the teams that need another controller. A team stays where it
-// is while its controller lives and holds no more than its part.
-func Assign(teams []string, hands map[string]*ledger.Hand, members map[string]*ledger.Member) map[string]string {
+// Assign names the teams that need another controller. All are handed to one,
+// since a group of machines is best written by one controller alone; it keeps
+// them while it lives. Rather another than the leader, which has work enough.
+func Assign(teams []string, hands map[string]*ledger.Hand, members map[string]*ledger.Member, leader string) map[string]string {
 	out := map[string]string{}
 	if len(members) == 0 {
 		return out
 	}
+	alive := func(h *ledger.Hand) bool {
+		return h != nil && members[h.Member] != nil && members[h.Member].Boot == h.Boot
+	}
 	held := map[string]int{}
-	part := (len(teams) + len(members) - 1) / len(members)
-	var loose []string
 	for _, t := range teams {
-		h := hands[t]
-		if h == nil || members[h.Member] == nil || members[h.Member].Boot != h.Boot || held[h.Member] == part {
-			loose = append(loose, t)
-			continue
+		if h := hands[t]; alive(h) {
+			held[h.Member]++
 		}
-		held[h.Member]++
 	}
-	for _, t := range loose {
-		best := ""
-		for m := range members {
-			if best == "" || held[m] < held[best] || held[m] == held[best] && m < best {
-				best = m
-			}
+	best := ""
+	for m := range members {
+		switch {
+		case best == "" || held[m] > held[best]:
+			best = m
+		case held[m] < held[best]:
+		case m != leader && (best == leader || m < best):
+			best = m
+		}
+	}
+	for _, t := range teams {
+		if h := hands[t]; !alive(h) || h.Member != best {
+			out[t] = best
 		}
-		held[best]++
-		out[t] = best
 	}
 	return out
 }
--- a/internal/frontdoor/frontdoor.go
+++ b/internal/frontdoor/frontdoor.go
@@ -389,7 +389,10 @@
 
 // ready answers 200 while the view is fresh enough to serve users. In an
 // outage that every controller sees, nobody serves better: users are then told
-// at once when to come back, and are served the moment it ends.
+// at once when to come back, and are served the moment it ends. But a node that
+// has lost its peers too can't tell that from its own isolation, and users who
+// stay connected to it would never be answered: it gives up in time for them to
+// find another.
 func (f *Front) ready(w http.ResponseWriter, _ *http.Request) {
 	age, ok := actor.Ask(f.Actor, func(reply func(float64)) {
 		if len(f.types) == 0 || f.fresh.IsZero() {
@@ -399,13 +402,18 @@
 		reply(time.Since(f.fresh).Seconds())
 	})
 	alone := f.peer == nil || f.peer.Elsewhere() == ""
-	if !ok || math.IsInf(age, 1) || age > f.stale.Seconds() && !alone {
+	lost := age > isolatedLeases*f.cfg.Params.Workers.LeaseS
+	if !ok || math.IsInf(age, 1) || lost || age > f.stale.Seconds() && !alone {
 		later(w, "not ready")
 		return
 	}
 	answer(w, http.StatusOK, struct{}{})
 }
 
+// isolatedLeases is for how long, in workers' leases, a node without state
+// stays ready when no other is known to be better off.
+const isolatedLeases = 0.75
+
 func (f *Front) hello(w http.ResponseWriter, r *http.Request) {
 	b, ok := body(w, r)
 	if !ok {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -103,7 +105,11 @@
 	for l.ctx.Err() == nil {
 		if load {
 			if err := l.load(); err != nil {
-				slog.Debug("state not loaded", "err", err)
+				level := slog.LevelDebug
+				if errors.Is(err, ErrLayout) {
+					level = slog.LevelError // until the records are gone: see docs/operations.md
+				}
+				slog.Log(l.ctx, level, "state not loaded", "err", err)
 				l.pause(fails)
 				fails++
 				continue
@@ -156,15 +162,25 @@
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
+	for _, it := range items {
+		if strings.HasPrefix(it.Key, Key(KindBind, "")) {
+			if _, err := decodeGroup("", it.Value, 0, nil); errors.Is(err, ErrLayout) {
+				return fmt.Errorf("%s: %w", it.Key, err)
+			}
+		}
+	}
 	l.Send(func() {
 		seen := make(map[string]bool, len(items))
-		var chs []Change
+		var jobs, chs []Change
 		for _, it := range items {
 			seen[it.Key] = true
-			if c, ok := l.change(it.Key, it.Value, it.Version); ok {
+			if c, ok := l.change(it.Key, it.Value, it.Version); ok && c.Kind == KindJob {
+				jobs = append(jobs, c)
+			} else if ok {
 				chs = append(chs, c)
 			}
 		}
+		chs = append(jobs, chs...) // what is bound or done needs its job
 		for _, c := range l.view.changes() {
 			if !seen[c.Key] && c.Stamp <= first {
 				chs = append(chs, Change{Key: c.Key, Kind: c.Kind, Name: c.Name, Stamp: first})
@@ -189,7 +205,7 @@
 	if raw == nil {
 		return c, true
 	}
-	rec, err := decode(kind, raw, stamp)
+	rec, err := l.decode(kind, name, raw, stamp)
 	if err != nil {
 		slog.Error("record not understood", "key", key, "err", err)
 		return Change{}, false
@@ -198,6 +214,13 @@
 	return c, true
 }
 
+func (l *Ledger) decode(kind, name string, raw json.RawMessage, stamp uint64) (any, error) {
+	if kind == KindBind {
+		return decodeGroup(name, raw, stamp, l.view.Groups[name])
+	}
+	return decode(kind, raw, stamp)
+}
+
 // events takes a watch's answer over. It carries every change after the
 // revision asked for, so what lies at or below the view's epoch is known.
 func (l *Ledger) events(ev *wire.Events, begun time.Time) {
@@ -233,7 +256,9 @@
 func (l *Ledger) publish(chs []Change) {
 	news := chs[:0]
 	for _, c := range chs {
-		if c.Stamp < l.view.stamp(c.Kind, c.Name) || c.Stamp < l.dead[c.Key] {
+		// What the view has already, as an own commit repeated by the watch, is
+		// not told twice: what a record says of ended tasks would count twice.
+		if c.Stamp <= l.view.stamp(c.Kind, c.Name) || c.Stamp < l.dead[c.Key] {
 			continue
 		}
 		l.view.Apply(c)
--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -16,8 +16,9 @@
 // applies the ledger's deltas to it.
 type View struct {
 	Jobs    map[string]*Job
-	Done    map[string]map[int]*DoneChunk
-	Binds   map[string]*Bind
+	Chunks  map[string]map[int]*DoneChunk // stored done sets
+	Groups  map[string]*Group
+	Binds   map[string]*Bind          // by machine
 	Bound   map[string]map[int]string // job, task: the machine it is bound to
 	Hands   map[string]*Hand
 	Members map[string]*Member
@@ -25,17 +26,32 @@
 	Leader  *Leader
 	Term    *Term
 
+	done       map[string]*done // of jobs that are not over
 	chunkTasks int
 	running    bool // keep no jobs that are done
 }
 
+// done is the set of a job's completed tasks. It only grows: what was marked
+// or stored as completed stays so.
+type done struct {
+	bits  DoneChunk
+	count int
+}
+
+func (d *done) add(n int) {
+	if !d.bits.Has(n) {
+		d.bits.set(n)
+		d.count++
+	}
+}
+
 // NewView makes an empty view; chunkTasks is the number of tasks in a chunk
 // of a done set.
 func NewView(chunkTasks int) *View {
 	return &View{
-		Jobs: map[string]*Job{}, Done: map[string]map[int]*DoneChunk{}, Binds: map[string]*Bind{},
+		Jobs: map[string]*Job{}, Chunks: map[string]map[int]*DoneChunk{}, Groups: map[string]*Group{}, Binds: map[string]*Bind{},
 		Bound: map[string]map[int]string{}, Hands: map[string]*Hand{}, Members: map[string]*Member{},
-		Rents: map[string]*Rent{}, chunkTasks: chunkTasks,
+		Rents: map[string]*Rent{}, done: map[string]*done{}, chunkTasks: chunkTasks,
 	}
 }
 
@@ -59,18 +75,29 @@
 	}
 }
 
-// Apply takes one change over.
-func (v *View) Apply(c Change) {
+// BindChange is what a change of a group means for one machine.
+type BindChange struct {
+	Machine  string
+	Old, New *Bind // nil: not there
+}
+
+// Apply takes one change over, and tells which machines it changes. Jobs must
+// come before what is bound or done of them.
+func (v *View) Apply(c Change) []BindChange {
 	switch c.Kind {
 	case KindJob:
 		put(v.Jobs, c.Name, c.Rec)
-		if j := v.Jobs[c.Name]; v.running && j != nil && j.State == wire.JobDone {
+		j := v.Jobs[c.Name]
+		if j == nil || !j.Active() {
+			delete(v.done, c.Name)
+		}
+		if v.running && j != nil && j.State == wire.JobDone {
 			delete(v.Jobs, c.Name)
 		}
 	case KindDone:
 		v.applyDone(c)
 	case KindBind:
-		v.applyBind(c)
+		return v.applyGroup(c)
 	case KindHand:
 		put(v.Hands, c.Name, c.Rec)
 	case KindMember:
@@ -82,6 +109,20 @@
 	case KindTerm:
 		v.Term, _ = c.Rec.(*Term)
 	}
+	return nil
+}
+
+// doneOf is the set to add a job's completed tasks to, or nil when it is over.
+func (v *View) doneOf(job string) *done {
+	if j := v.Jobs[job]; j == nil || !j.Active() {
+		return nil
+	}
+	d := v.done[job]
+	if d == nil {
+		d = &done{}
+		v.done[job] = d
+	}
+	return d
 }
 
 func (v *View) applyDone(c Change) {
@@ -89,24 +130,74 @@
 	if !ok {
 		return
 	}
-	d, _ := c.Rec.(*DoneChunk)
-	switch {
-	case d == nil:
-		delete(v.Done[job], chunk)
-		if len(v.Done[job]) == 0 {
-			delete(v.Done, job)
+	rec, _ := c.Rec.(*DoneChunk)
+	if rec == nil {
+		delete(v.Chunks[job], chunk)
+		if len(v.Chunks[job]) == 0 {
+			delete(v.Chunks, job)
+		}
+		return
+	}
+	if v.Chunks[job] == nil {
+		v.Chunks[job] = map[int]*DoneChunk{}
+	}
+	v.Chunks[job][chunk] = rec
+	if d := v.doneOf(job); d != nil {
+		for i := range 8 * len(rec.Bits) {
+			if rec.Has(i) {
+				d.add(chunk*v.chunkTasks + i)
+			}
+		}
+	}
+}
+
+func (v *View) applyGroup(c Change) []BindChange {
+	old := v.Groups[c.Name]
+	put(v.Groups, c.Name, c.Rec)
+	g := v.Groups[c.Name]
+	var out []BindChange
+	var was, is []*Bind
+	if old != nil {
+		was = old.Binds
+	}
+	if g != nil {
+		is = g.Binds
+	}
+	for len(was) > 0 || len(is) > 0 {
+		switch {
+		case len(is) == 0 || len(was) > 0 && was[0].Name < is[0].Name:
+			out = append(out, BindChange{was[0].Name, was[0], nil})
+			was = was[1:]
+		case len(was) == 0 || is[0].Name < was[0].Name:
+			out = append(out, BindChange{is[0].Name, nil, is[0]})
+			is = is[1:]
+		default:
+			if was[0] != is[0] {
+				out = append(out, BindChange{is[0].Name, was[0], is[0]})
+			}
+			was, is = was[1:], is[1:]
 		}
-	case v.Done[job] == nil:
-		v.Done[job] = map[int]*DoneChunk{chunk: d}
-	default:
-		v.Done[job][chunk] = d
 	}
+	for _, b := range out {
+		v.rebind(b)
+	}
+	if g != nil {
+		for job, ns := range g.Marks {
+			if d := v.doneOf(job); d != nil && d.count < v.Jobs[job].Tasks {
+				for _, n := range ns {
+					d.add(n)
+				}
+			}
+		}
+	}
+	return out
 }
 
-func (v *View) applyBind(c Change) {
-	if old := v.Binds[c.Name]; old != nil {
-		for _, t := range old.Tasks {
-			if v.Bound[t.Job][t.N] == c.Name {
+func (v *View) rebind(c BindChange) {
+	if c.Old != nil {
+		for i := range c.Old.Tasks {
+			t := &c.Old.Tasks[i]
+			if v.Bound[t.Job][t.N] == c.Machine {
 				delete(v.Bound[t.Job], t.N)
 				if len(v.Bound[t.Job]) == 0 {
 					delete(v.Bound, t.Job)
@@ -114,35 +205,45 @@
 			}
 		}
 	}
-	put(v.Binds, c.Name, c.Rec)
-	b, _ := c.Rec.(*Bind)
-	if b == nil {
+	if c.New == nil {
+		if b := v.Binds[c.Machine]; b == c.Old {
+			delete(v.Binds, c.Machine)
+		}
 		return
 	}
-	for _, t := range b.Tasks {
+	v.Binds[c.Machine] = c.New
+	for i := range c.New.Tasks {
+		t := &c.New.Tasks[i]
 		if v.Bound[t.Job] == nil {
 			v.Bound[t.Job] = map[int]string{}
 		}
-		v.Bound[t.Job][t.N] = c.Name
+		v.Bound[t.Job][t.N] = c.Machine
 	}
 }
 
 // Chunk finds the chunk of a done set that holds a task.
 func (v *View) Chunk(task int) (chunk, bit int) { return task / v.chunkTasks, task % v.chunkTasks }
 
-// IsDone tells whether a task has completed.
+// IsDone tells whether a task has completed; of a job that is over, nothing is
+// known.
 func (v *View) IsDone(job string, task int) bool {
-	c, bit := v.Chunk(task)
-	return v.Done[job][c].Has(bit)
+	d := v.done[job]
+	return d != nil && d.bits.Has(task)
 }
 
-// DoneCount is the number of a job's completed tasks.
+// DoneCount is the number of completed tasks of a job that is not over.
 func (v *View) DoneCount(job string) int {
-	n := 0
-	for _, d := range v.Done[job] {
-		n += d.Count()
+	if d := v.done[job]; d != nil {
+		return d.count
 	}
-	return n
+	return 0
+}
+
+// Complete tells whether a job has all its tasks done, but is not called done
+// yet.
+func (v *View) Complete(job string) bool {
+	j := v.Jobs[job]
+	return j != nil && j.Active() && v.DoneCount(job) >= j.Tasks
 }
 
 // Waits is how many tasks of a job are neither done nor bound.
@@ -167,12 +268,12 @@
 		}
 	case KindDone:
 		if job, chunk, ok := splitDone(name); ok {
-			if r := v.Done[job][chunk]; r != nil {
+			if r := v.Chunks[job][chunk]; r != nil {
 				return r.Stamp
 			}
 		}
 	case KindBind:
-		if r := v.Binds[name]; r != nil {
+		if r := v.Groups[name]; r != nil {
 			return r.Stamp
 		}
 	case KindHand:
@@ -213,14 +314,14 @@
 	for n, r := range v.Jobs {
 		add(KindJob, n, r, r.Stamp)
 	}
-	for job, chunks := range v.Done {
+	for job, chunks := range v.Chunks {
 		for c, r := range chunks {
 			key := DoneKey(job, c)
 			_, name, _ := split(key)
 			add(KindDone, name, r, r.Stamp)
 		}
 	}
-	for n, r := range v.Binds {
+	for n, r := range v.Groups {
 		add(KindBind, n, r, r.Stamp)
 	}
 	for n, r := range v.Hands {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -21,6 +21,7 @@
 	"lynxledge/internal/actor"
 	"lynxledge/internal/config"
 	"lynxledge/internal/frontdoor"
+	"lynxledge/internal/place"
 	"lynxledge/wire"
 )
 
@@ -29,6 +30,8 @@
 	Member string   `json:"member"`
 	AgeMS  int64    `json:"ageMs"` // of the sender's view; below 0: it has none
 	Heard  []string `json:"heard,omitempty"`
+	// Note is for the receiver to write, if it places.
+	Note *place.Note `json:"note,omitempty"`
 }
 
 // Mesh is the actor that knows the other controllers.
@@ -40,13 +43,16 @@
 	fresh   func() time.Time
 	peers   map[string]*peer
 	best    atomic.Pointer[peer]
+	alone   atomic.Bool
 	onHeard atomic.Pointer[func([]string)]
+	onNote  atomic.Pointer[func(place.Note)]
 	client  *http.Client
 }
 
 type peer struct {
 	config.Peer
 	out  chan Beat
+	up   atomic.Bool // the stream to it is open
 	seen time.Time
 	age  time.Duration
 }
@@ -69,7 +75,7 @@
 		}},
 	}
 	for _, p := range cfg.Peers {
-		q := &peer{Peer: p, out: make(chan Beat, 4)}
+		q := &peer{Peer: p, out: make(chan Beat, queued)}
 		m.peers[p.Name] = q
 		go m.dial(q)
 	}
@@ -83,12 +89,38 @@
 // OnHeard sets the receiver of the workers that others hear.
 func (m *Mesh) OnHeard(f func([]string)) { m.onHeard.Store(&f) }
 
-// Heard tells the others which workers reported here.
-func (m *Mesh) Heard(machines []string) {
-	b := Beat{Member: m.cfg.Name, AgeMS: -1, Heard: machines}
+// queued is how many messages wait for a stream; more are dropped.
+const queued = 64
+
+// OnNote sets the receiver of what reports prove.
+func (m *Mesh) OnNote(f func(place.Note)) { m.onNote.Store(&f) }
+
+// Tell passes on what a report proves; false if the other controller is out of
+// reach. That it was told proves nothing.
+func (m *Mesh) Tell(member string, n place.Note) bool {
+	p := m.peers[member]
+	if p == nil || !p.up.Load() {
+		return false
+	}
+	select {
+	case p.out <- m.beat(Beat{Note: &n}):
+		return true
+	default:
+		return false
+	}
+}
+
+func (m *Mesh) beat(b Beat) Beat {
+	b.Member, b.AgeMS = m.cfg.Name, -1
 	if f := m.fresh(); !f.IsZero() {
 		b.AgeMS = time.Since(f).Milliseconds()
 	}
+	return b
+}
+
+// Heard tells the others which workers reported here.
+func (m *Mesh) Heard(machines []string) {
+	b := m.beat(Beat{Heard: machines})
 	for _, p := range m.peers {
 		select {
 		case p.out <- b:
@@ -141,6 +173,8 @@
 		return err
 	}
 	defer resp.Body.Close()
+	p.up.Store(true)
+	defer p.up.Store(false)
 	_, err = io.Copy(io.Discard, resp.Body)
 	return err
 }
@@ -185,14 +219,22 @@
 	if f := m.onHeard.Load(); f != nil && len(b.Heard) > 0 {
 		(*f)(b.Heard)
 	}
+	if f := m.onNote.Load(); f != nil && b.Note != nil && b.Note.Report != nil && b.Note.Report.Check() == nil {
+		(*f)(*b.Note)
+	}
 }
 
 // choose names the controller with the freshest view among those heard
 // lately.
 func (m *Mesh) choose() {
 	var best *peer
+	alone := len(m.peers) > 0
 	for _, p := range m.peers {
-		if time.Since(p.seen) > 3*m.period || p.age < 0 || p.age > 3*m.period {
+		if time.Since(p.seen) > 3*m.period {
+			continue
+		}
+		alone = false
+		if p.age < 0 || p.age > 3*m.period {
 			continue
 		}
 		if best == nil || p.age < best.age {
@@ -200,8 +242,12 @@
 		}
 	}
 	m.best.Store(best)
+	m.alone.Store(alone)
 }
 
+// Alone tells whether there are other controllers, but none was heard lately.
+func (m *Mesh) Alone() bool { return m.alone.Load() }
+
 // Elsewhere names a controller that has state, or nothing.
 func (m *Mesh) Elsewhere() string {
 	if p := m.best.Load(); p != nil {
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"time"
 
 	"lynxledge/internal/config"
 	"lynxledge/internal/ledger"
@@ -58,22 +59,37 @@
 // Task is one task on a node, as far as the choice cares.
 type Task struct {
 	Job   *wire.Job // nil when its job is unknown
-	Name  string
-	Stops bool    // ordered to stop
-	Owed  bool    // its job fits its team's guarantee with the team's earlier jobs
-	Last  bool    // its job has no task waiting: stopping it delays the job
-	Spent float64 // seconds since it was bound
+	N     int
+	Stops bool      // ordered to stop
+	Owed  bool      // its job fits its team's guarantee with the team's earlier jobs
+	Last  bool      // its job has no task waiting: stopping it delays the job
+	Since time.Time // when it was first seen bound
+	Spent float64   // seconds since then
 }
 
 // Node is a machine that may take tasks.
 type Node struct {
 	Name  string
+	Group string
 	Type  *wire.MachineType
 	Zone  string
 	Spot  bool
-	Used  Res // of tasks that are to stay
+	Open  bool // tasks may be bound to it
+	Used  Res  // of tasks that are to stay
 	Tasks []Task
 	Image func(image string) bool
+	// Apart: using it takes a write of its own. Few groups are written at once.
+	Apart bool
+
+	roomy int         // place in the index of nodes with room, from 1
+	all   int         // place among all nodes, from 1
+	held  []*wire.Job // one for each task that the sums count
+	pool  *pool       // the pool that counts it as open
+}
+
+// HasRoom tells whether the node has any of its processors and memory left.
+func (n *Node) HasRoom() bool {
+	return n.Open && n.Used.CPUs < n.Type.CPUs-slack && (n.Type.MemoryGB == 0 || n.Used.Mem < n.Type.MemoryGB-slack)
 }
 
 // Tally is what a team's tasks use until they are proved gone.
@@ -121,12 +137,23 @@
 // looked at in place of all of them.
 const maxSample = 64
 
-// Sample returns at most maxSample of the nodes.
+// Sample returns at most maxSample of the nodes. Those left out are found by
+// later samples: each round draws anew.
 func Sample(nodes []*Node, rng *rand.Rand) []*Node {
 	if len(nodes) <= maxSample {
-		return nodes
+		return slices.Clone(nodes)
 	}
 	out := make([]*Node, 0, maxSample)
+	if len(nodes) > 4*maxSample { // drawn one by one: no work that grows with the machines
+		seen := make(map[int]bool, maxSample)
+		for len(out) < maxSample {
+			if i := rng.IntN(len(nodes)); !seen[i] {
+				seen[i] = true
+				out = append(out, nodes[i])
+			}
+		}
+		return out
+	}
 	for _, i := range rng.Perm(len(nodes))[:maxSample] {
 		out = append(out, nodes[i])
 	}
@@ -177,6 +204,9 @@
 	if j.Spread {
 		s += 8 * float64(zones[n.Zone]) / float64(j.Tasks)
 	}
+	if n.Apart {
+		s += 0.25
+	}
 	return s
 }
 
--- a/internal/place/estimate.go
+++ b/internal/place/estimate.go
@@ -30,10 +30,10 @@
 	enoughOf  = 3   // completed tasks of a job that speak for the rest
 )
 
-// Learn takes over what a machine's new record says of completed tasks.
-func (e *Estimates) Learn(b *ledger.Bind, jobs map[string]*ledger.Job) {
-	for _, g := range b.Gone {
-		id, _, _ := wire.SplitTask(g.Task)
+// Learn takes over what a group's new record says of completed tasks.
+func (e *Estimates) Learn(gone []ledger.Gone, jobs map[string]*ledger.Job) {
+	for _, g := range gone {
+		id := g.Job
 		j := jobs[id]
 		if g.Why != wire.WhyDone || g.RanS <= 0 || j == nil || j.Spec == nil || j.Spec.EstimateS <= 0 {
 			continue
--- a/internal/reports/reconcile.go
+++ b/internal/place/reconcile.go
@@ -1,6 +1,4 @@
-// Package reports answers the workers' reports and writes what they prove
-// into the state service.
-package reports
+package place
 
 import (
 	"lynxledge/internal/ledger"
@@ -10,12 +8,12 @@
 // Proof is what a report proves of a machine's record.
 type Proof struct {
 	Orders []wire.Order
-	Gone   []ledger.Gone // bound tasks that are certainly not on the machine any more
-	Fence  []string      // tasks of cancelled jobs that a late launch could still start
-	Joined bool          // the report opens a session that the record doesn't know
-	Behind bool          // the worker has seen a token beyond the record's
-	Back   bool          // the record says that the machine is quiet
-	Notice bool          // the cloud will take the machine, which the record doesn't know
+	Gone   []ledger.Gone  // bound tasks that are certainly not on the machine any more
+	Fence  []ledger.Bound // tasks of cancelled jobs that a late launch could still start
+	Joined bool           // the report opens a session that the record doesn't know
+	Behind bool           // the worker has seen a token beyond the record's
+	Back   bool           // the record says that the machine is quiet, but it has heard of that
+	Notice bool           // the cloud will take the machine, which the record doesn't know
 }
 
 // Changes tells whether the record has to be rewritten.
@@ -32,12 +30,14 @@
 	if rep.Session < rec.Session {
 		return p // a report from before the worker's lease ended
 	}
-	p.Back = rec.Quiet && !rec.Closed
+	// The rewrite that marked it raised its token: only a machine that was
+	// answered since then has seen it, and no copy of an older report has.
+	p.Back = rec.Quiet && !rec.Closed && rep.Token >= rec.Token
 	p.Behind = rep.Token > rec.Token
 	if rep.Session > rec.Session {
 		p.Joined = true
 		for i := range rec.Tasks {
-			p.Gone = append(p.Gone, ledger.Gone{Task: rec.Tasks[i].Name(), Why: ledger.WhySession})
+			p.gone(rec, &rec.Tasks[i], ledger.WhySession)
 		}
 		return p
 	}
@@ -68,7 +68,7 @@
 		runs := active(b.Job)
 		switch {
 		case e.same != nil && e.same.State == wire.TaskExited:
-			p.Gone = append(p.Gone, ledger.Gone{Task: name, Why: e.same.Why})
+			p.gone(rec, b, e.same.Why)
 		case e.same != nil && (b.Stop > 0 || !runs):
 			grace := float64(b.Grace)
 			if !runs {
@@ -80,10 +80,10 @@
 			saving = saving || grace > 0
 		case e.same != nil:
 		case b.Stop > 0 && rep.Token >= b.Stop:
-			p.Gone = append(p.Gone, ledger.Gone{Task: name, Why: ledger.WhyNever})
+			p.gone(rec, b, ledger.WhyNever)
 		case b.Stop > 0:
 		case !runs:
-			p.Fence = append(p.Fence, name)
+			p.Fence = append(p.Fence, *b)
 		default:
 			starts = append(starts, wire.Order{Op: wire.OpStart, Task: name, Attempt: b.Attempt})
 		}
@@ -94,6 +94,10 @@
 	return p
 }
 
+func (p *Proof) gone(rec *ledger.Bind, b *ledger.Bound, why string) {
+	p.Gone = append(p.Gone, ledger.Gone{Machine: rec.Name, Job: b.Job, N: b.N, Why: why})
+}
+
 // remnant orders what is to happen to an entry that nothing is bound to.
 func (p *Proof) remnant(t *wire.TaskReport) {
 	if t.State == wire.TaskExited {
--- /dev/null
+++ b/internal/place/round.go
@@ -0,0 +1,554 @@
+package place
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"lynxledge/internal/ledger"
+	"lynxledge/wire"
+)
+
+// round is one commit in the making: what reports prove, jobs that end by it,
+// and new bindings, all that concerns a group in one write.
+type round struct {
+	now    time.Time
+	limit  int // writes
+	drafts map[string]*draft
+	folds  map[string]*ledger.DoneChunk // by key
+	ends   map[string]int               // jobs that end: writes that takes
+	marks  map[string]int               // jobs: tasks marked here
+	jobs   map[string]uint64            // guarded jobs
+	hands  map[string]uint64
+	placed map[string]int
+	tally  Tally
+	owed   map[string]bool
+	starts map[string][]wire.Order
+	stops  map[string][]wire.Order
+	rows   map[string]*ledger.Bind // of the machines with starts
+	log    []func()
+}
+
+type draft struct {
+	*ledger.Draft
+	size    int // of the record, at most
+	touched bool
+}
+
+// Parts of the value limit: bound tasks may fill the first, the rest is for
+// what a record says when they end; marks are folded beyond the second.
+const (
+	recordFill = 0.75
+	foldFill   = 0.6
+)
+
+func (p *Placer) valueBytes(part float64) int { return int(p.cfg.Params.State.ValueKB * 1024 * part) }
+
+func (r *round) ops() int {
+	n := len(r.drafts) + len(r.folds)
+	for _, w := range r.ends {
+		n += w
+	}
+	return n
+}
+
+// full: no more groups can be written.
+func (r *round) full() bool { return r.ops() >= r.limit }
+
+// guardable tells whether more jobs can be guarded: a transaction may have four
+// guards for each write, and each group and fold needs its own.
+func (p *Placer) guardable(r *round) bool { return len(r.jobs) < 2*p.cfg.Params.State.TxnOps }
+
+// round takes what has come together and makes one commit of it.
+func (p *Placer) round() {
+	now := time.Now()
+	if now.Sub(p.fresh) > p.reportS(2) {
+		return
+	}
+	mine := p.mine()
+	limit := p.cfg.Params.State.TxnOps
+	if ready := int(p.pace.TokensAt(now)); ready < limit {
+		// Full transactions cost less than many small ones; what waits longest
+		// waits no longer for it, since writes are what is short.
+		if ready < limit/2 && (len(p.notes) > 1 || len(p.ripe) > 1) {
+			p.After(time.Duration(float64(limit/2-ready)/float64(p.pace.Limit())*float64(time.Second)), p.schedule)
+			return
+		}
+		limit = ready
+	}
+	if limit < 2 {
+		p.After(time.Duration(2/float64(p.pace.Limit())*float64(time.Second)), p.schedule)
+		return
+	}
+	r := &round{
+		now: now, limit: limit, drafts: map[string]*draft{}, folds: map[string]*ledger.DoneChunk{}, ends: map[string]int{},
+		marks: map[string]int{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{}, tally: maps.Clone(p.tally),
+		starts: map[string][]wire.Order{}, stops: map[string][]wire.Order{}, rows: map[string]*ledger.Bind{},
+	}
+	p.endRipe(r, len(mine) > 0)
+	q := p.queue(mine, now)
+	p.takeNotes(r, len(mine) > 0, len(q) > 0)
+	for job := range r.marks {
+		p.end(r, job)
+	}
+	for _, w := range q {
+		p.placeJob(r, w)
+	}
+	p.commit(r)
+}
+
+// endRipe ends jobs whose last tasks are marked already.
+func (p *Placer) endRipe(r *round, placing bool) {
+	for job, since := range p.ripe {
+		if !p.view.Complete(job) {
+			delete(p.ripe, job)
+		} else if placing || r.now.Sub(since) > p.reportS(1) {
+			p.end(r, job)
+		}
+	}
+}
+
+// end calls a job done once all its tasks are, as far as the commit has room.
+func (p *Placer) end(r *round, job string) {
+	j := p.view.Jobs[job]
+	if j == nil || !j.Active() || r.ends[job] > 0 || p.view.DoneCount(job)+r.marks[job] < j.Tasks {
+		return
+	}
+	chunks := len(p.view.Chunks[job])
+	if r.ops()+1+min(chunks, p.cfg.Params.State.TxnOps/2) > r.limit || !p.guardable(r) {
+		return
+	}
+	r.ends[job] = 1 + min(chunks, r.limit-r.ops()-1)
+	r.jobs[job] = j.Stamp
+	at := time.UnixMilli(j.At)
+	r.log = append(r.log, func() { slog.Debug("job done", "job", job, "age_s", int(time.Since(at).Seconds())) })
+}
+
+// takeNotes applies what reports prove, the longest waiting groups first. When
+// jobs wait for room, some writes are left for groups that have it.
+func (p *Placer) takeNotes(r *round, placing, queued bool) {
+	type due struct {
+		group string
+		at    time.Time
+	}
+	var groups []due
+	for g, machines := range p.notes {
+		d := due{group: g}
+		for m, n := range machines {
+			rec := p.view.Binds[m]
+			if rec == nil || rec.Group != g {
+				delete(machines, m)
+			} else if (placing || r.now.After(n.due)) && (d.at.IsZero() || n.due.Before(d.at)) {
+				d.at = n.due
+			}
+		}
+		if len(machines) == 0 {
+			delete(p.notes, g)
+		} else if !d.at.IsZero() {
+			groups = append(groups, d)
+		}
+	}
+	slices.SortFunc(groups, func(a, b due) int { return a.at.Compare(b.at) })
+	limit := r.limit
+	if queued {
+		limit -= r.limit / 4
+	}
+	for _, g := range groups {
+		if r.ops() >= limit {
+			return
+		}
+		for m, n := range p.notes[g.group] {
+			rec := p.view.Binds[m]
+			proof := Reconcile(rec, n.Report, p.running)
+			if !proof.Changes() {
+				delete(p.notes[g.group], m)
+				continue
+			}
+			p.prove(r, rec, n, &proof)
+		}
+		if d := r.drafts[g.group]; d != nil {
+			p.fold(r, d)
+		}
+	}
+}
+
+func (p *Placer) running(job string) bool {
+	j := p.view.Jobs[job]
+	return j != nil && j.Active()
+}
+
+// open makes a group's next record part of the round; nil when it is full.
+func (p *Placer) open(r *round, group string) *draft {
+	if d := r.drafts[group]; d != nil {
+		return d
+	}
+	if r.full() || p.view.Groups[group] == nil {
+		return nil
+	}
+	d := &draft{Draft: p.view.Draft(group)}
+	d.size = d.Size()
+	r.drafts[group] = d
+	for _, b := range d.Binds {
+		if n := p.nodes[b.Name]; n != nil {
+			n.Apart = false
+		}
+	}
+	return d
+}
+
+// prove rewrites a machine's row by what a report proves.
+func (p *Placer) prove(r *round, rec *ledger.Bind, n *noted, proof *Proof) {
+	d := p.open(r, rec.Group)
+	if d == nil {
+		return
+	}
+	m, rep := rec.Name, n.Report
+	next := d.Edit(m)
+	next.Token = max(next.Token, rep.Token+1)
+	if proof.Joined {
+		next.Session, next.Addr = rep.Session, rep.Addr
+		d.size += len(rep.Addr)
+		r.log = append(r.log, func() {
+			slog.Info("machine up", "machine", m, "session", next.Session, "type", next.Type, "zone", next.Zone, "spot", next.Spot)
+		})
+	}
+	next.Quiet = next.Quiet && !proof.Back
+	if proof.Notice {
+		next.Drain = "spot-notice"
+	}
+	for _, f := range proof.Fence {
+		if b := next.Find(f.Job, f.N); b != nil {
+			b.Stop = next.Token
+		}
+	}
+	for _, g := range proof.Gone {
+		g.RanS = n.RanS[g.Task()]
+		if g.Why == wire.WhyDone && p.running(g.Job) && !p.view.IsDone(g.Job, g.N) {
+			d.Mark(g.Job, g.N)
+			r.marks[g.Job]++
+			d.size += 8
+		}
+		next.Tasks = slices.DeleteFunc(next.Tasks, func(b ledger.Bound) bool { return b.Job == g.Job && b.N == g.N })
+		d.Gone = append(d.Gone, g)
+		if j := p.view.Jobs[g.Job]; j != nil && j.Spec != nil {
+			r.tally[j.Spec.Team] = r.tally[j.Spec.Team].Plus(Of(j.Spec), -1)
+		}
+		if g.Why != wire.WhyDone {
+			r.log = append(r.log, func() { slog.Info("task left machine", "task", g.Task(), "machine", m, "why", g.Why) })
+		}
+	}
+	if node := p.nodes[m]; node != nil {
+		p.fill(node, next)
+	}
+}
+
+// fold moves a job's marks from a record that fills up into its done set.
+func (p *Placer) fold(r *round, d *draft) {
+	for d.Size() > p.valueBytes(foldFill) && r.ops() < r.limit && p.guardable(r) {
+		most := ""
+		for job, ns := range d.Marks {
+			if r.ends[job] == 0 && len(ns) > len(d.Marks[most]) {
+				most = job
+			}
+		}
+		if most == "" {
+			return
+		}
+		chunk, _ := p.view.Chunk(d.Marks[most][0])
+		var bits, rest []int
+		for _, n := range d.Marks[most] {
+			if c, bit := p.view.Chunk(n); c == chunk {
+				bits = append(bits, bit)
+			} else {
+				rest = append(rest, n)
+			}
+		}
+		key := ledger.DoneKey(most, chunk)
+		set := r.folds[key]
+		if set == nil {
+			set = p.view.Chunks[most][chunk]
+		}
+		r.folds[key] = set.With(bits...)
+		r.jobs[most] = p.view.Jobs[most].Stamp
+		if d.Marks[most] = rest; len(rest) == 0 {
+			delete(d.Marks, most)
+		}
+	}
+}
+
+// candidates are nodes to choose among for a job: those of groups that are
+// written anyhow and, while the round has room, a sample of all.
+func (p *Placer) candidates(r *round, j *wire.Job) []*Node {
+	var list []*Node
+	usable := func(n *Node) bool {
+		return n != nil && n.HasRoom() && !r.now.Before(p.shaky[n.Name]) && Allowed(j, n.Type.Name, n.Zone, n.Spot) &&
+			n.Used.Plus(Of(j), 1).Fits(Capacity(n.Type))
+	}
+	for g, d := range r.drafts {
+		for _, b := range d.Binds {
+			if n := p.nodes[b.Name]; usable(n) && n.Group == g {
+				list = append(list, n)
+			}
+		}
+	}
+	list = Sample(list, p.rng)
+	if !r.full() {
+		for _, n := range Sample(p.roomy, p.rng) {
+			if r.drafts[n.Group] == nil && usable(n) {
+				n.Apart = true
+				list = append(list, n)
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b *Node) int { return a.all - b.all })
+	return list
+}
+
+// others is a sample of all nodes: to preempt on, or to move replicas from.
+func (p *Placer) others(r *round) []*Node {
+	var from []*Node
+	if r.full() {
+		for _, d := range r.drafts {
+			for _, b := range d.Binds {
+				if n := p.nodes[b.Name]; n != nil {
+					from = append(from, n)
+				}
+			}
+		}
+		slices.SortFunc(from, func(a, b *Node) int { return a.all - b.all })
+	} else {
+		from = p.all
+	}
+	list := slices.DeleteFunc(Sample(from, p.rng), func(n *Node) bool { return !n.Open || r.now.Before(p.shaky[n.Name]) })
+	p.judge(r, list)
+	return list
+}
+
+// placeJob places what it can of a job.
+func (p *Placer) placeJob(r *round, w waiting) {
+	spec, team := w.job.Spec, p.team(w.job.Spec.Team)
+	need := Of(spec)
+	if r.ends[w.id] > 0 || !r.tally.WithinLimit(team, need) {
+		return
+	}
+	if _, known := r.jobs[w.id]; !known && !p.guardable(r) {
+		return
+	}
+	zones := ZonesOf(p.view, w.id)
+	avoid := func(nodes []*Node) []*Node {
+		if f := p.failed[w.id]; f != nil {
+			// Failed work is tried elsewhere, while there is an elsewhere.
+			if rest := slices.DeleteFunc(slices.Clone(nodes), func(n *Node) bool { return f.machines[n.Name] }); len(rest) > 0 {
+				return rest
+			}
+		}
+		return nodes
+	}
+	sample := avoid(p.candidates(r, spec))
+	var others []*Node
+	failing := p.failed[w.id] != nil && p.failed[w.id].count >= probeAfter
+	since := 0 // tasks placed since the sample was drawn
+	for n := p.low[w.id]; n < w.job.Tasks; n++ {
+		if failing && len(p.view.Bound[w.id])+r.placed[w.id] > 0 {
+			return // one at a time until one succeeds
+		}
+		if p.view.IsDone(w.id, n) {
+			if n == p.low[w.id] {
+				p.low[w.id] = n + 1
+			}
+			continue
+		}
+		if _, bound := p.view.Bound[w.id][n]; bound {
+			continue
+		}
+		if !r.tally.WithinLimit(team, need) {
+			return
+		}
+		node := Pick(spec, zones, p.offers, sample)
+		if node == nil && since > 0 {
+			sample, since = avoid(p.candidates(r, spec)), 0
+			node = Pick(spec, zones, p.offers, sample)
+		}
+		preempts := spec.Rank >= wire.RankHigh || r.tally.WithinGuarantee(team, need)
+		var v *Victims
+		if preempts && (node == nil || spec.Rank >= wire.RankHigh && !node.Image(spec.Image)) {
+			if others == nil {
+				others = avoid(p.others(r))
+			}
+			// A fetch takes longer than urgent work may wait: where its image is,
+			// other work makes room for it.
+			where := others
+			if node != nil {
+				where = withImage(others, spec.Image)
+			}
+			v = Preempt(spec, zones, p.offers, where, r.tally, p.team)
+		}
+		if node == nil && v == nil && spec.Spread && spec.Service() {
+			if others == nil {
+				others = avoid(p.others(r))
+			}
+			v = Move(spec, zones, others)
+		}
+		if node == nil && v == nil {
+			return
+		}
+		if v == nil && p.worthWaiting(spec, node, r.now) {
+			return
+		}
+		if v != nil {
+			d := p.open(r, v.Node.Group)
+			if d == nil {
+				return
+			}
+			p.stop(r, d, v)
+			node = v.Node
+		}
+		if !p.bind(r, node, w, n) {
+			return
+		}
+		since++
+		node.Used = node.Used.Plus(need, 1)
+		// Marked as stopping, so that nothing in this round preempts it.
+		node.Tasks = append(node.Tasks, Task{Job: spec, N: n, Stops: true, Since: r.now})
+		r.tally[team.Name] = r.tally[team.Name].Plus(need, 1)
+		zones[node.Zone]++
+	}
+}
+
+// bind puts a task into a machine's row; false when there is no room for that.
+func (p *Placer) bind(r *round, node *Node, w waiting, n int) bool {
+	d := p.open(r, node.Group)
+	if d == nil {
+		return false
+	}
+	if d.size+ledger.TaskBytes(w.id) > p.valueBytes(recordFill) {
+		node.Open = false // in this round
+		slog.Debug("record is full", "group", node.Group)
+		return false
+	}
+	rec := d.Edit(node.Name)
+	if rec == nil {
+		return false
+	}
+	// The row's token has never been used on this machine before. The view's
+	// revision would not do: it stands still between an own commit and its
+	// repeat by the watch, and an attempt used twice on a machine lets the first
+	// one's end pass for the second's.
+	t := ledger.Bound{Job: w.id, N: n, Attempt: rec.Token}
+	rec.Tasks = append(rec.Tasks, t)
+	d.size += ledger.TaskBytes(w.id)
+	r.jobs[w.id] = w.job.Stamp
+	r.hands[w.job.Spec.Team] = w.hand
+	r.placed[w.id]++
+	r.rows[node.Name] = rec
+	r.starts[node.Name] = append(r.starts[node.Name], wire.Order{Op: wire.OpStart, Task: t.Name(), Attempt: t.Attempt})
+	return true
+}
+
+// stop orders victims stopped in the record that binds their successor.
+func (p *Placer) stop(r *round, d *draft, v *Victims) {
+	rec := d.Edit(v.Node.Name)
+	for _, i := range v.Tasks {
+		task := &v.Node.Tasks[i]
+		task.Stops = true
+		v.Node.Used = v.Node.Used.Plus(Of(task.Job), -1)
+		t := rec.Find(task.Job.ID, task.N)
+		if t == nil {
+			continue
+		}
+		t.Stop = rec.Token
+		d.size += 12
+		grace := 0.0
+		r.stops[v.Node.Name] = append(r.stops[v.Node.Name], wire.Order{Op: wire.OpStop, Task: t.Name(), Attempt: t.Attempt, GraceS: &grace})
+		slog.Info("preempting", "task", t.Name(), "machine", v.Node.Name, "ran_s", int(task.Spent))
+	}
+}
+
+// commit makes the round's changes, if there are any.
+func (p *Placer) commit(r *round) {
+	c := ledger.Commit{Settle: true, Patience: p.reportS(0.5)}
+	for team, stamp := range r.hands {
+		c.Guards = append(c.Guards, wire.Guard{Key: ledger.Key(ledger.KindHand, team), Version: stamp})
+	}
+	for id, stamp := range r.jobs {
+		c.Guards = append(c.Guards, wire.Guard{Key: ledger.Key(ledger.KindJob, id), Version: stamp})
+	}
+	for key, d := range r.folds {
+		c.Guards = append(c.Guards, wire.Guard{Key: key, Version: d.Stamp})
+		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: d})
+	}
+	for job, writes := range r.ends {
+		j := p.view.Jobs[job]
+		c.Puts = append(c.Puts, ledger.Put{Key: ledger.Key(ledger.KindJob, job), Rec: &ledger.Job{
+			State: wire.JobDone, Tasks: j.Tasks, At: j.At, EndAt: r.now.UnixMilli(),
+		}})
+		// The done set goes with the write that calls the job done.
+		for chunk := range p.view.Chunks[job] {
+			if writes--; writes > 0 {
+				c.Delete = append(c.Delete, ledger.DoneKey(job, chunk))
+			}
+		}
+	}
+	var touched []string
+	for _, d := range r.drafts {
+		for job := range r.ends {
+			delete(d.Marks, job)
+		}
+		for _, b := range d.Binds {
+			touched = append(touched, b.Name)
+		}
+		if !d.Fit(p.valueBytes(1)) {
+			slog.Error("record too large; nothing is written", "group", d.Name, "bytes", d.Size(), "machines", len(d.Binds))
+			p.undo(touched)
+			return
+		}
+		d.AddTo(&c)
+	}
+	if c.Ops() == 0 {
+		return
+	}
+	p.pace.ReserveN(r.now, c.Ops())
+	p.busy = true
+	p.ledger.Commit(c, func(out ledger.Outcome) {
+		p.Send(func() {
+			p.busy = false
+			p.undo(touched)
+			if out == ledger.Committed {
+				for _, f := range r.log {
+					f()
+				}
+				p.launch(r)
+			}
+			p.schedule()
+		})
+	})
+}
+
+// undo makes nodes that a round has changed say again what their rows do.
+func (p *Placer) undo(machines []string) {
+	for _, m := range machines {
+		if b := p.view.Binds[m]; b != nil {
+			p.renew(m, b)
+		}
+	}
+}
+
+// launch sends the commands of a round that stands, under the tokens of its
+// own rows: a later row may have ordered a task stopped again. What is lost or
+// refused is repeated when the worker reports.
+func (p *Placer) launch(r *round) {
+	for m, rec := range r.rows {
+		cmd := wire.Commands{Token: rec.Token, Session: rec.Session, Orders: append(r.stops[m], r.starts[m]...)}
+		slog.Debug("placing", "machine", m, "starts", len(r.starts[m]), "stops", len(r.stops[m]), "first", cmd.Orders[len(r.stops[m])].Task)
+		go func() {
+			rep, err := p.worker.Do(p.ctx, rec.Addr, cmd)
+			if err != nil {
+				slog.Debug("commands unanswered", "machine", m, "err", err)
+				p.Send(func() { p.shaky[m] = time.Now().Add(p.reportS(1)) })
+				return
+			}
+			p.report(rep)
+		}()
+	}
+}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -3,6 +3,7 @@
 package plan
 
 import (
+	heapify "container/heap"
 	"math"
 	"slices"
 	"strings"
@@ -63,6 +64,7 @@
 	Pool
 	Count int
 	Load  float64
+	Tasks float64 // that one machine holds when it is full
 }
 
 // Plan is what a pass decides.
@@ -128,7 +130,8 @@
 
 // Make runs one pass.
 func Make(in Input) Plan {
-	p := &pass{Input: in, types: map[string]*wire.MachineType{}, offer: map[string]int{}, load: map[Pool]float64{}}
+	p := &pass{Input: in, types: map[string]*wire.MachineType{}, offer: map[string]int{}, load: map[Pool]float64{},
+		tasks: map[Pool]int{}, share: map[Pool]float64{}}
 	for i := range in.Types {
 		p.types[in.Types[i].Name] = &in.Types[i]
 	}
@@ -152,7 +155,7 @@
 	}
 	for pool, l := range p.load {
 		if n := int(math.Ceil(l - 1e-6)); n > 0 {
-			out.Rent = append(out.Rent, Rent{pool, n, l})
+			out.Rent = append(out.Rent, Rent{pool, n, l, float64(p.tasks[pool]) / p.share[pool]})
 		}
 	}
 	slices.SortFunc(out.Rent, func(a, b Rent) int {
@@ -177,6 +180,8 @@
 	room  []*slot
 	order []Pool // every pool
 	load  map[Pool]float64
+	tasks map[Pool]int     // that put load on it
+	share map[Pool]float64 // sum of their shares
 }
 
 // slots finds the machines there are, and when their tasks end.
@@ -272,60 +277,106 @@
 	if whole {
 		run = math.Inf(1)
 	}
-	unmet := 0
-	for n := range d.Count {
-		// Beyond maxTried tasks the machines there are count as full.
-		if n < maxTried && p.onExisting(d, need, zones, run) {
-			continue
+	// Beyond maxTried tasks the machines there count as full.
+	left := d.Count - p.onExisting(d, min(d.Count, maxTried), need, zones, run)
+	fixed := !d.Job.Spread && !d.Job.OneZone // every task has the same choice
+	var pool Pool
+	var share float64
+	ok := false
+	for n := range left {
+		if n == 0 || !fixed {
+			pool, share, ok = p.cheapest(d, need, zones)
 		}
-		pool, share, ok := p.cheapest(d, need, zones)
 		if !ok {
-			unmet++
-			continue
+			return left - n
 		}
 		p.load[pool] += Load(share, d.RunS, window, whole)
+		p.tasks[pool]++
+		p.share[pool] += share
 		zones[pool.Zone]++
 	}
-	return unmet
+	return 0
 }
 
 // maxTried bounds the work of a pass on one job.
-const maxTried = 200
+const maxTried = 1000
+
+// open is a slot that may take a task of the job in hand.
+type open struct {
+	*slot
+	order int // among all slots
+	at    float64
+	limit float64
+	share float64
+	kind  bool // as cheap as the job may have it
+}
+
+// opens is a heap, the slot that is free first on top.
+type opens []open
+
+func (o opens) Len() int { return len(o) }
+func (o opens) Less(i, k int) bool {
+	a, b := &o[i], &o[k]
+	if a.at != b.at {
+		return a.at < b.at
+	}
+	if a.kind != b.kind {
+		return a.kind
+	}
+	return a.order < b.order
+}
+func (o opens) Swap(i, k int) { o[i], o[k] = o[k], o[i] }
+func (o *opens) Push(x any)   { *o = append(*o, x.(open)) }
+func (o *opens) Pop() any {
+	last := (*o)[len(*o)-1]
+	*o = (*o)[:len(*o)-1]
+	return last
+}
 
-// onExisting puts a task on the machine that has room for it first, if it
-// starts there before a new machine could be up or still ends in time: then
-// it puts no load on new machines past the boot lag. A machine that boots for
-// longer than the lag covers load from its rental on: another one would not be
-// up sooner, and every pass would rent it again.
-func (p *pass) onExisting(d Demand, need place.Res, zones place.Zones, run float64) bool {
+// onExisting puts up to count tasks on the machines that have room for them
+// first, if they start there before a new machine could be up or still end in
+// time: then they put no load on new machines past the boot lag. A machine that
+// boots for longer than the lag covers load from its rental on: another one
+// would not be up sooner, and every pass would rent it again. It returns how
+// many found room. Machines are looked at once for a job, not for each task.
+func (p *pass) onExisting(d Demand, count int, need place.Res, zones place.Zones, run float64) int {
 	endless := d.Job.Service() || math.IsInf(d.DeadlineS, 1)
-	var best *slot
-	bestAt, bestShare, bestKind := math.Inf(1), 0.0, false
-	for _, s := range p.room {
+	var heap opens
+	for i, s := range p.room {
 		pool := s.m.Pool
 		if !p.allows(d, pool, zones) {
 			continue
 		}
-		share := need.Share(place.Capacity(s.typ))
-		at, limit := s.free(share), p.LagS
+		o := open{slot: s, order: i, share: need.Share(place.Capacity(s.typ)), limit: p.LagS, kind: pool.Spot == d.Job.Spot}
 		if s.ready > 0 {
-			limit = math.Max(limit, s.typ.BootS)
+			o.limit = math.Max(o.limit, s.typ.BootS)
 		}
 		if !endless {
-			limit = math.Max(limit, d.DeadlineS-run)
+			o.limit = math.Max(o.limit, d.DeadlineS-run)
 		}
-		kind := pool.Spot == d.Job.Spot
-		if at <= limit && (at < bestAt || at == bestAt && kind && !bestKind) {
-			best, bestAt, bestShare, bestKind = s, at, share, kind
+		if o.at = s.free(o.share); o.at <= o.limit {
+			heap = append(heap, o)
 		}
 	}
-	if best == nil {
-		return false
+	heapify.Init(&heap)
+	found := 0
+	for found < count && len(heap) > 0 {
+		o := &heap[0]
+		if !zones.Allows(d.Job, o.m.Pool.Zone) {
+			heapify.Pop(&heap)
+			continue
+		}
+		o.add(o.at+run, o.share)
+		o.taken = true
+		zones[o.m.Pool.Zone]++
+		found++
+		if o.at = o.free(o.share); o.at > o.limit {
+			heapify.Pop(&heap)
+		} else {
+			heapify.Fix(&heap, 0)
+		}
 	}
-	best.add(bestAt+run, bestShare)
-	best.taken = true
-	zones[best.m.Pool.Zone]++
-	return true
+	return found
 }
 
 func (p *pass) allows(d Demand, pool Pool, zones place.Zones) bool {
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -3,14 +3,18 @@
 package rent
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"log/slog"
 	"math"
+	"slices"
 	"strings"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"lynxledge/internal/actor"
 	"lynxledge/internal/cloud"
 	"lynxledge/internal/config"
@@ -40,8 +44,10 @@
 	ctx    context.Context
 	cfg    *config.Config
 	boot   uint64
+	begun  time.Time
 	ledger *ledger.Ledger
 	cloud  Cloud
+	pace   *rate.Limiter // of writes
 	prober Prober
 	report func(*wire.Report)
 
@@ -55,13 +61,14 @@
 	heard   map[string]time.Time
 	marked  map[string]time.Time       // when a machine was marked quiet
 	errors  map[string]map[string]bool // machine: jobs that failed on it since a success
-	marking bool
 	refused map[plan.Pool]time.Time
+	edits   map[string]edit // machine: what is to be written of it
+	writing bool
 
 	term       uint64 // of the leadership that this state belongs to
 	hires      int
 	hiring     map[string]bool
-	closing    map[string]bool
+	deleting   map[string]bool
 	probing    map[string]bool
 	unanswered map[string]time.Time // when a probe failed last
 	deleted    map[string]time.Time
@@ -72,10 +79,11 @@
 // Start runs the actor; it acts only while this process leads.
 func Start(ctx context.Context, cfg *config.Config, boot uint64, l *ledger.Ledger, c Cloud, p Prober, report func(*wire.Report)) *Renter {
 	r := &Renter{
-		Actor: actor.Start(ctx, "renter", 256), ctx: ctx, cfg: cfg, boot: boot, ledger: l, cloud: c, prober: p, report: report,
+		Actor: actor.Start(ctx, "renter", 256), ctx: ctx, cfg: cfg, boot: boot, begun: time.Now(), ledger: l, cloud: c, prober: p, report: report,
+		pace:   rate.NewLimiter(rate.Limit(cfg.Params.State.WriteRPS*(1-cfg.Ops.StateShare)/2), cfg.Params.State.TxnOps),
 		view:   ledger.NewRunningView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
 		active: map[string]*ledger.Job{}, runs: place.NewEstimates(), since: map[string]time.Time{}, heard: map[string]time.Time{}, marked: map[string]time.Time{}, errors: map[string]map[string]bool{},
-		refused: map[plan.Pool]time.Time{}, hiring: map[string]bool{}, closing: map[string]bool{},
+		refused: map[plan.Pool]time.Time{}, hiring: map[string]bool{}, deleting: map[string]bool{}, edits: map[string]edit{},
 		probing: map[string]bool{}, unanswered: map[string]time.Time{}, deleted: map[string]time.Time{},
 	}
 	l.Subscribe(func(d ledger.Delta) { r.Send(func() { r.apply(d) }) })
@@ -101,11 +109,14 @@
 	r.epoch, r.fresh = d.Epoch, d.Fresh
 	now := time.Now()
 	for _, c := range d.Changes {
+		for _, b := range r.view.Apply(c) {
+			r.bindChanged(b, now)
+		}
 		switch c.Kind {
 		case ledger.KindBind:
-			r.bindChanged(c, now)
-			if b, _ := c.Rec.(*ledger.Bind); b != nil {
-				r.runs.Learn(b, r.view.Jobs)
+			if g, _ := c.Rec.(*ledger.Group); g != nil {
+				r.judge(g.Gone)
+				r.runs.Learn(g.Gone, r.view.Jobs)
 			}
 		case ledger.KindJob:
 			if j, _ := c.Rec.(*ledger.Job); j != nil && j.Active() && j.Spec != nil {
@@ -115,46 +126,43 @@
 				r.runs.Forget(c.Name)
 			}
 		}
-		r.view.Apply(c)
 	}
 }
 
-func (r *Renter) bindChanged(c ledger.Change, now time.Time) {
-	b, _ := c.Rec.(*ledger.Bind)
-	old := r.view.Binds[c.Name]
+func (r *Renter) bindChanged(c ledger.BindChange, now time.Time) {
+	m, old, b := c.Machine, c.Old, c.New
 	for _, t := range ledger.Left(old, b) {
 		delete(r.since, t.Name())
 	}
 	if b == nil {
-		delete(r.heard, c.Name)
-		delete(r.marked, c.Name)
-		delete(r.errors, c.Name)
-		delete(r.unanswered, c.Name)
-		r.deleted[c.Name] = now
-		if old != nil {
-			delete(r.refused, plan.Pool{Type: old.Type, Zone: old.Zone, Spot: old.Spot})
-		}
+		delete(r.heard, m)
+		delete(r.marked, m)
+		delete(r.errors, m)
+		delete(r.unanswered, m)
+		delete(r.edits, m)
+		r.deleted[m] = now
+		delete(r.refused, plan.Pool{Type: old.Type, Zone: old.Zone, Spot: old.Spot})
 		return
 	}
-	if _, ok := r.heard[c.Name]; !ok && b.Session > 0 || old != nil && old.Quiet && !b.Quiet {
-		r.heard[c.Name] = now // somebody hears it
+	if _, ok := r.heard[m]; !ok && b.Session > 0 || old != nil && old.Quiet && !b.Quiet {
+		r.heard[m] = now // somebody hears it
 	}
-	r.judge(c.Name, b)
 	if b.Quiet && (old == nil || !old.Quiet) {
-		r.marked[c.Name] = now
+		r.marked[m] = now
 	}
 	for i := range b.Tasks {
-		if _, ok := r.since[b.Tasks[i].Name()]; !ok {
-			r.since[b.Tasks[i].Name()] = now
+		if t := &b.Tasks[i]; old == nil || old.Find(t.Job, t.N) == nil {
+			r.since[t.Name()] = now
 		}
 	}
 }
 
 // judge tells a faulty machine from a faulty job: a job fails on every
 // machine, a faulty machine fails whatever job it is given.
-func (r *Renter) judge(m string, b *ledger.Bind) {
-	for _, g := range b.Gone {
-		job, _, _ := wire.SplitTask(g.Task)
+func (r *Renter) judge(gone []ledger.Gone) {
+	for i := range gone {
+		g := &gone[i]
+		m := g.Machine
 		switch g.Why {
 		case wire.WhyDone:
 			delete(r.errors, m)
@@ -162,18 +170,12 @@
 			if r.errors[m] == nil {
 				r.errors[m] = map[string]bool{}
 			}
-			r.errors[m][job] = true
+			r.errors[m][g.Job] = true
+		}
+		if b := r.view.Binds[m]; len(r.errors[m]) >= faultyJobs && b != nil && b.Drain == "" && r.leads() {
+			slog.Warn("machine looks faulty", "machine", m, "type", b.Type, "zone", b.Zone, "failed_jobs", len(r.errors[m]))
+			r.edit(m, edit{drain: "faulty"})
 		}
-	}
-	if len(r.errors[m]) >= faultyJobs && b.Drain == "" && r.leads() {
-		slog.Warn("machine looks faulty", "machine", m, "type", b.Type, "zone", b.Zone, "failed_jobs", len(r.errors[m]))
-		next := b.Next(r.view.CurrentTerm())
-		next.Drain = "faulty"
-		key := ledger.Key(ledger.KindBind, m)
-		r.ledger.Commit(ledger.Commit{
-			Guards: []wire.Guard{r.guard(), {Key: key, Version: b.Stamp}},
-			Puts:   []ledger.Put{{Key: key, Rec: next}},
-		}, func(ledger.Outcome) {})
 	}
 }
 
@@ -219,11 +221,9 @@
 	in := r.input()
 	p := plan.Make(in)
 	slog.Debug("pass", "machines", len(in.Machines), "demands", len(in.Demands), "rent", p.Rent, "return", len(p.Return), "unmet", p.Unmet)
-	for _, want := range p.Rent {
-		r.intend(want)
-	}
+	r.rentAll(p.Rent)
 	for _, m := range p.Return {
-		r.close(m, "idle")
+		r.close(m, whyIdle)
 	}
 	for m, b := range r.view.Binds {
 		if b.Drain != "" && !b.Closed && b.Session > 0 && len(b.Tasks) == 0 {
@@ -298,9 +298,6 @@
 	return in
 }
 
-// bootUsual is how many times its boot time a machine usually takes at most.
-const bootUsual = 1.6
-
 // overdueTimes is how many times its last deadline a job may wait for cheap
 // machines before any machine will do.
 const overdueTimes = 4
@@ -317,30 +314,61 @@
 	return n
 }
 
+// rentAll rents what the plan wants, in whole batches, the pool with the
+// largest need first: when many types run short, each gets its first batch
+// before any gets its second.
+func (r *Renter) rentAll(rents []plan.Rent) {
+	slices.SortStableFunc(rents, func(a, b plan.Rent) int { return cmp.Compare(b.Load, a.Load) })
+	for more := true; more; {
+		more = false
+		for i := range rents {
+			if want := &rents[i]; want.Count > 0 {
+				n := min(want.Count, wire.MaxHire)
+				want.Count -= n
+				more = more || want.Count > 0
+				r.intend(*want, n)
+			}
+		}
+	}
+}
+
 // intend stores what is to be rented, then rents it.
-func (r *Renter) intend(want plan.Rent) {
-	if time.Now().Before(r.refused[want.Pool]) {
+func (r *Renter) intend(want plan.Rent, count int) {
+	if time.Now().Before(r.refused[want.Pool]) || len(r.hiring) >= r.atOnce() {
 		return
 	}
 	r.hires++
 	name := fmt.Sprintf("r-%d-%d", r.term, r.hires)
 	intent := &ledger.Rent{
 		Type: want.Type, Zone: want.Zone, Spot: want.Spot,
-		Count: min(want.Count, wire.MaxHire), At: time.Now().UnixMilli(),
+		Count: count, Tasks: want.Tasks, At: time.Now().UnixMilli(),
 	}
 	key := ledger.Key(ledger.KindRent, name)
 	r.hiring[name] = true
-	r.ledger.Commit(ledger.Commit{
+	r.commit(ledger.Commit{
 		Guards: []wire.Guard{r.guard(), {Key: key}},
 		Puts:   []ledger.Put{{Key: key, Rec: intent}},
 	}, func(out ledger.Outcome) {
-		r.Send(func() {
-			delete(r.hiring, name)
-			if out == ledger.Committed {
-				slog.Info("renting", "hire", name, "type", want.Type, "zone", want.Zone, "spot", want.Spot, "count", intent.Count, "load", math.Round(want.Load*100)/100)
-				r.hire(name, intent)
-			}
-		})
+		delete(r.hiring, name)
+		if out == ledger.Committed {
+			slog.Info("renting", "hire", name, "type", want.Type, "zone", want.Zone, "spot", want.Spot, "count", count, "load", math.Round(want.Load*100)/100)
+			r.hire(name, intent)
+		}
+	})
+}
+
+// atOnce is how many rentals are under way at most: what the cloud takes in
+// two passes.
+func (r *Renter) atOnce() int {
+	return max(2, int(2*r.cfg.Ops.PassS*r.cfg.Params.Cloud.RPS*r.cfg.Ops.CloudShare))
+}
+
+// commit makes a change within the leader's part of the writes; reply runs in
+// the actor.
+func (r *Renter) commit(c ledger.Commit, reply func(ledger.Outcome)) {
+	wait := r.pace.ReserveN(time.Now(), min(c.Ops(), r.pace.Burst())).Delay()
+	r.After(wait, func() {
+		r.ledger.Commit(c, func(out ledger.Outcome) { r.Send(func() { reply(out) }) })
 	})
 }
 
@@ -370,6 +398,7 @@
 		delete(r.hiring, name)
 		return
 	}
+	slices.Sort(nests)
 	if none || len(nests) < intent.Count {
 		r.refused[pool] = time.Now().Add(config.Secs(r.cfg.Ops.PassS * refusalPasses))
 		r.again = true
@@ -391,40 +420,48 @@
 
 // drags tells whether a machine has been starting for longer than is usual.
 func (r *Renter) drags(b *ledger.Bind, now time.Time) bool {
-	return b.Session == 0 && now.Sub(time.UnixMilli(b.At)) > config.Secs(bootUsual*r.bootS(b.Type))
+	return b.Session == 0 && now.Sub(time.UnixMilli(b.At)) > config.Secs(place.BootUsual*r.bootS(b.Type))
 }
 
 // refusalPasses is for how many passes a pool that ran short is left alone.
 const refusalPasses = 4
 
-// record writes the machines of a rental and then drops its intent.
+// record writes the machines of a rental, in as many groups as their records
+// need, and drops its intent with the last.
 func (r *Renter) record(name string, intent *ledger.Rent, nests []string) {
+	rest := slices.DeleteFunc(nests, func(m string) bool { return !wire.ValidMachine(m) || r.view.Binds[m] != nil })
+	longest := 0
+	for _, m := range rest {
+		longest = max(longest, len(m))
+	}
+	s := r.cfg.Params.State
+	per := ledger.MachinesPer(int(s.ValueKB*1024*groupFill), float64(longest), intent.Tasks)
 	c := ledger.Commit{Guards: []wire.Guard{r.guard()}, Patience: config.Secs(r.cfg.Ops.PassS)}
-	limit := r.cfg.Params.State.TxnOps - 1
-	rest := nests
-	for len(rest) > 0 && len(c.Puts) < limit {
-		m := rest[0]
-		rest = rest[1:]
-		if !wire.ValidMachine(m) || r.view.Binds[m] != nil {
-			continue
-		}
-		c.Puts = append(c.Puts, r.newBind(m, intent.Type, intent.Zone, intent.Spot, intent.At, &c))
+	for len(rest) > 0 && len(c.Puts) < s.TxnOps-1 {
+		n := min(per, len(rest))
+		group := fmt.Sprintf("%s.%s", name, rest[0])
+		key := ledger.Key(ledger.KindBind, group)
+		c.Guards = append(c.Guards, wire.Guard{Key: key})
+		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: ledger.NewGroup(group, intent.Type, intent.Zone, intent.Spot, intent.At, rest[:n], ledger.Token(r.term))})
+		rest = rest[n:]
 	}
 	if len(rest) == 0 {
 		c.Delete = []string{ledger.Key(ledger.KindRent, name)}
 	}
-	r.ledger.Commit(c, func(out ledger.Outcome) {
-		r.Send(func() {
-			if out == ledger.Committed && len(rest) > 0 {
-				r.record(name, intent, rest)
-				return
-			}
-			delete(r.hiring, name)
-			r.replan()
-		})
+	r.commit(c, func(out ledger.Outcome) {
+		if out == ledger.Committed && len(rest) > 0 {
+			r.record(name, intent, rest)
+			return
+		}
+		delete(r.hiring, name)
+		r.replan()
 	})
 }
 
+// groupFill is the part of the value limit that a group's record is planned to
+// fill when its machines are in use.
+const groupFill = 0.8
+
 // replan runs the pass again once the calls of the last one are answered, if
 // a pool ran short: waiting for the next pass at every refusal would leave
 // work without a machine for as many passes as there are pools.
@@ -435,12 +472,6 @@
 	}
 }
 
-func (r *Renter) newBind(m, typ, zone string, spot bool, at int64, c *ledger.Commit) ledger.Put {
-	key := ledger.Key(ledger.KindBind, m)
-	c.Guards = append(c.Guards, wire.Guard{Key: key})
-	return ledger.Put{Key: key, Rec: &ledger.Bind{Type: typ, Zone: zone, Spot: spot, Token: ledger.Token(r.term), At: at}}
-}
-
 // list reads the cloud's machines and deals with what is unexpected.
 func (r *Renter) list() {
 	if r.listing {
@@ -471,21 +502,34 @@
 			delete(r.deleted, m)
 		}
 	}
+	renting := map[plan.Pool]bool{}
+	for _, i := range r.view.Rents {
+		renting[plan.Pool{Type: i.Type, Zone: i.Zone, Spot: i.Spot}] = true
+	}
 	c := ledger.Commit{Guards: []wire.Guard{r.guard()}}
 	for _, h := range hosts {
 		id := h.ID
 		b := r.view.Binds[id]
-		if _, late := r.deleted[id]; b == nil && !late && wire.ValidMachine(id) &&
-			len(r.view.Rents) == 0 && len(r.hiring) == 0 && len(c.Puts) < r.cfg.Params.State.TxnOps {
-			slog.Info("unexpected machine adopted", "machine", id, "type", h.Type, "zone", h.Zone, "spot", h.Spot)
-			c.Puts = append(c.Puts, r.newBind(id, h.Type, h.Zone, h.Spot, now.UnixMilli()-int64(h.AgeS*1000), &c))
+		if b != nil {
+			if h.State == wire.HostFailed {
+				r.close(id, "failed")
+			}
+			continue
 		}
-		if b != nil && h.State == wire.HostFailed {
-			r.close(id, "failed")
+		// A machine that was returned is listed for a while. What this process
+		// saw returned it remembers; for the rest it waits until no list shows it.
+		_, late := r.deleted[id]
+		if late || now.Sub(r.begun) < 3*lag || !wire.ValidMachine(id) || renting[plan.Pool{Type: h.Type, Zone: h.Zone, Spot: h.Spot}] ||
+			len(c.Puts) >= r.cfg.Params.State.TxnOps {
+			continue
 		}
+		slog.Info("unexpected machine adopted", "machine", id, "type", h.Type, "zone", h.Zone, "spot", h.Spot)
+		key := ledger.Key(ledger.KindBind, "a."+id)
+		c.Guards = append(c.Guards, wire.Guard{Key: key})
+		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: ledger.NewGroup("a."+id, h.Type, h.Zone, h.Spot, now.UnixMilli()-int64(h.AgeS*1000), []string{id}, ledger.Token(r.term))})
 	}
 	if len(c.Puts) > 0 {
-		r.ledger.Commit(c, func(ledger.Outcome) {})
+		r.commit(c, func(ledger.Outcome) {})
 	}
 }
 
@@ -503,8 +547,7 @@
 	for m, b := range r.view.Binds {
 		age := now.Sub(time.UnixMilli(b.At))
 		switch {
-		case b.Closed:
-			r.remove(m, b) // an earlier try, or an earlier leader's
+		case b.Closed: // deleted below
 		case b.Session == 0:
 			if age > config.Secs(r.bootS(b.Type)*r.cfg.Ops.BootPatience) {
 				r.close(m, "never came up")
@@ -523,7 +566,12 @@
 			}
 		}
 	}
-	r.mark(quiet)
+	for _, m := range quiet {
+		r.edit(m, edit{quiet: true})
+	}
+	r.tidy()
+	r.flush()
+	r.remove()
 	// One that stopped is listed as failed long before this; one that is cut
 	// off ends its tasks after a lease, but may be back sooner than another.
 	lost := config.Secs(2 * r.cfg.Params.Workers.LeaseS)
@@ -583,24 +631,6 @@
 	return true
 }
 
-// mark asks, through the state service, whether anybody hears these machines.
-func (r *Renter) mark(quiet []string) {
-	if r.marking || len(quiet) == 0 {
-		return
-	}
-	c := ledger.Commit{Guards: []wire.Guard{r.guard()}}
-	for _, m := range quiet[:min(len(quiet), r.cfg.Params.State.TxnOps)] {
-		b := r.view.Binds[m]
-		next := b.Next(r.view.CurrentTerm())
-		next.Quiet = true
-		key := ledger.Key(ledger.KindBind, m)
-		c.Guards = append(c.Guards, wire.Guard{Key: key, Version: b.Stamp})
-		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: next})
-	}
-	r.marking = true
-	r.ledger.Commit(c, func(ledger.Outcome) { r.Send(func() { r.marking = false }) })
-}
-
 func (r *Renter) bootS(typ string) float64 {
 	for i := range r.types {
 		if r.types[i].Name == typ {
@@ -630,79 +660,174 @@
 	}()
 }
 
-// close fences a machine's record, so that nothing new is bound to it, and
-// then returns the machine. An idle machine is closed only as it was seen.
-func (r *Renter) close(m, why string) {
-	b := r.view.Binds[m]
-	if b == nil || r.closing[m] {
+// edit is what the leader wants written of a machine.
+type edit struct {
+	quiet bool   // ask, through the record, whether anybody hears it
+	drain string // bind nothing more to it, and say why
+	close bool   // and return it
+	gone  bool   // it is: the cloud answered its deletion
+}
+
+// edit has something written of a machine with the next transaction. What goes
+// further takes the place of what was wanted before.
+func (r *Renter) edit(m string, e edit) {
+	if old := r.edits[m]; old.gone || old.close && !e.gone || old.drain != "" && e.quiet {
 		return
 	}
-	if b.Closed {
-		r.remove(m, b)
+	r.edits[m] = e
+	if !r.writing {
+		r.After(config.Secs(r.cfg.Ops.PassS*editPause), r.flush)
+	}
+}
+
+// editPause, in passes, lets edits of one group come together.
+const editPause = 0.02
+
+// whyIdle is the one reason for which a machine is returned only as it was
+// seen: with nothing bound to it.
+const whyIdle = "idle"
+
+// wanted tells whether an edit still changes a machine's row.
+func (e edit) wanted(b *ledger.Bind) bool {
+	switch {
+	case b == nil:
+		return false
+	case e.gone:
+		return true
+	case e.close:
+		return !b.Closed && (e.drain != whyIdle || len(b.Tasks) == 0)
+	case e.drain != "":
+		return b.Drain == ""
+	}
+	return !b.Quiet
+}
+
+// flush writes the edits: as many groups as a transaction holds. That machines
+// are gone needs no leadership; the rest does.
+func (r *Renter) flush() {
+	if r.writing || len(r.edits) == 0 {
 		return
 	}
-	next := b.Next(r.view.CurrentTerm())
-	next.Closed, next.Drain = true, why
-	key := ledger.Key(ledger.KindBind, m)
-	r.closing[m] = true
-	r.ledger.Commit(ledger.Commit{
-		Guards: []wire.Guard{r.guard(), {Key: key, Version: b.Stamp}},
-		Puts:   []ledger.Put{{Key: key, Rec: next}},
-	}, func(out ledger.Outcome) {
-		r.Send(func() {
-			delete(r.closing, m)
-			if out == ledger.Committed {
-				slog.Info("returning machine", "machine", m, "why", why, "tasks", len(b.Tasks),
-					"age_s", (time.Now().UnixMilli()-b.At)/1000, "type", b.Type, "zone", b.Zone, "spot", b.Spot)
-				r.remove(m, r.view.Binds[m])
+	// What waits is put together when it can be written, not before: its guards
+	// would be old by then.
+	limit := min(r.cfg.Params.State.TxnOps, int(r.pace.Tokens()))
+	if limit < 1 {
+		r.After(config.Secs(1/float64(r.pace.Limit())), r.flush)
+		return
+	}
+	leads := r.leads()
+	drafts := map[string]*ledger.Draft{}
+	done := map[string]edit{}
+	var c ledger.Commit
+	for m, e := range r.edits {
+		b := r.view.Binds[m]
+		if !e.wanted(b) || !leads && !e.gone {
+			delete(r.edits, m)
+			continue
+		}
+		d := drafts[b.Group]
+		if d == nil {
+			if len(drafts) == limit {
+				continue
 			}
-		})
+			d = r.view.Draft(b.Group)
+			drafts[b.Group] = d
+		}
+		done[m] = e
+		if e.gone {
+			d.Drop(m)
+			continue
+		}
+		next := d.Edit(m)
+		next.Quiet = next.Quiet || e.quiet
+		next.Closed = next.Closed || e.close
+		if e.drain != "" {
+			next.Drain = e.drain
+		}
+		if len(c.Guards) == 0 {
+			c.Guards = append(c.Guards, r.guard())
+		}
+	}
+	for _, d := range drafts {
+		if !d.Fit(int(r.cfg.Params.State.ValueKB * 1024)) {
+			slog.Error("record too large; nothing is written", "group", d.Name, "bytes", d.Size())
+			continue
+		}
+		d.AddTo(&c)
+	}
+	if c.Ops() == 0 {
+		return
+	}
+	r.writing = true
+	r.commit(c, func(out ledger.Outcome) {
+		r.writing = false
+		if out == ledger.Committed {
+			for m, e := range done {
+				if r.edits[m] == e {
+					delete(r.edits, m)
+				}
+				if b := r.view.Binds[m]; b != nil && e.close {
+					slog.Info("returning machine", "machine", m, "why", e.drain, "tasks", len(b.Tasks),
+						"age_s", (time.Now().UnixMilli()-b.At)/1000, "type", b.Type, "zone", b.Zone, "spot", b.Spot)
+				}
+			}
+			r.remove()
+			r.flush()
+		} else if len(r.edits) > 0 {
+			r.After(config.Secs(r.cfg.Ops.PassS*editPause), r.flush)
+		}
 	})
 }
 
-// remove deletes a closed machine at the cloud; once that is answered, the
-// machine and its tasks are gone, and so is its record.
-func (r *Renter) remove(m string, b *ledger.Bind) {
-	if b == nil || r.closing[m] || !r.leads() {
-		return
-	}
-	r.closing[m] = true
-	names := []string{m}
-	for other, ob := range r.view.Binds { // one call for all that wait for it
-		if ob.Closed && !r.closing[other] && len(names) < wire.MaxDelete {
-			r.closing[other] = true
-			names = append(names, other)
+// tidy drops records of groups of which nothing is left but marks of jobs that
+// are over.
+func (r *Renter) tidy() {
+	c := ledger.Commit{Guards: []wire.Guard{r.guard()}}
+	for name, g := range r.view.Groups {
+		if len(g.Binds) > 0 || len(c.Delete) >= r.cfg.Params.State.TxnOps {
+			continue
+		}
+		if d := r.view.Draft(name); d.Empty() {
+			d.AddTo(&c)
 		}
 	}
-	go func() {
-		err := r.cloud.Delete(r.ctx, names)
-		r.Send(func() { r.removed(names, err) })
-	}()
+	if c.Ops() > 0 {
+		r.commit(c, func(ledger.Outcome) {})
+	}
 }
 
-func (r *Renter) removed(names []string, err error) {
-	if err != nil {
-		slog.Info("return unanswered", "machines", strings.Join(names, " "), "err", err)
-		for _, m := range names {
-			delete(r.closing, m)
+// close fences a machine's row, so that nothing new is bound to it; then it is
+// returned.
+func (r *Renter) close(m, why string) { r.edit(m, edit{drain: why, close: true}) }
+
+// remove deletes closed machines at the cloud; once that is answered, they and
+// their tasks are gone, and so are their rows.
+func (r *Renter) remove() {
+	if !r.leads() {
+		return
+	}
+	var names []string
+	for m, b := range r.view.Binds {
+		if b.Closed && !r.deleting[m] && !r.edits[m].gone && len(names) < wire.MaxDelete {
+			r.deleting[m] = true
+			names = append(names, m)
 		}
+	}
+	if len(names) == 0 {
 		return
 	}
-	for len(names) > 0 {
-		n := min(len(names), r.cfg.Params.State.TxnOps)
-		part := names[:n]
-		names = names[n:]
-		// No guard on the stamp: the machine is gone, whatever its record says.
-		c := ledger.Commit{Patience: config.Secs(r.cfg.Ops.PassS)}
-		for _, m := range part {
-			c.Delete = append(c.Delete, ledger.Key(ledger.KindBind, m))
-		}
-		r.ledger.Commit(c, func(ledger.Outcome) {
-			r.Send(func() {
-				for _, m := range part {
-					delete(r.closing, m)
+	go func() {
+		err := r.cloud.Delete(r.ctx, names)
+		r.Send(func() {
+			for _, m := range names {
+				delete(r.deleting, m)
+				if err == nil {
+					r.edit(m, edit{gone: true})
 				}
-			})
+			}
+			if err != nil {
+				slog.Info("return unanswered", "machines", strings.Join(names, " "), "err", err)
+			}
 		})
-	}
+	}()
 }
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -47,13 +47,13 @@
 	timeout time.Duration
 }
 
-// New makes a client that uses at most share of the rates.
-func New(addr string, rps, writeRPS, share float64, maxOps int, timeout time.Duration) *Client {
-	wr := writeRPS * share
+// New makes a client that never asks for more than the service's rates. That
+// the controllers together keep to them is the callers' concern.
+func New(addr string, rps, writeRPS float64, maxOps int, timeout time.Duration) *Client {
 	return &Client{
 		base: "http://" + addr, http: rpc.Client(timeout, 8), timeout: timeout,
-		reads:  rate.NewLimiter(rate.Limit(rps*share), max(1, int(rps*share))),
-		writes: rate.NewLimiter(rate.Limit(wr), max(maxOps, int(wr))),
+		reads:  rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
+		writes: rate.NewLimiter(rate.Limit(writeRPS), max(maxOps, int(writeRPS))),
 	}
 }
 
--- a/wire/worker.go
+++ b/wire/worker.go
@@ -55,7 +55,7 @@
 	switch {
 	case !ValidMachine(r.Machine):
 		return malformed("nest %.40q", r.Machine)
-	case r.Addr == "" || r.Type == "" || r.Zone == "":
+	case !ValidMachine(r.Addr) || r.Type == "" || r.Zone == "":
 		return malformed("address, build and yard must be set")
 	case r.Session == 0:
 		return malformed("shift must be 1 or more")
