Shorter rows, one batch a pool, short pauses after 429, told notes are left alone

Changes: what rows have in common stands once in a record; a pool has one batch under way; a 429 is tried again after what the rate gives; a note that proves nothing more hands no time on. Ruled out: sampling, which found machines with room when there were any.

--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -26,6 +26,54 @@
 	Marks map[string][]int
 	Gone  []Gone // tasks that left with this write
 	Stamp uint64
+
+	same affix // what the rows of the record leave out
+}
+
+// affix is what all names, addresses and tokens of a group's rows have in
+// common. It stands once in the record.
+type affix struct {
+	Name string `json:"name,omitempty"` // prefix
+	Addr string `json:"addr,omitempty"` // prefix
+	Port string `json:"port,omitempty"` // suffix of the addresses
+	Base uint64 `json:"base,omitempty"` // tokens count from here
+}
+
+// common is the affix of rows.
+func common(binds []*Bind) affix {
+	var a affix
+	first := true
+	for i, b := range binds {
+		if i == 0 {
+			a.Name, a.Base = b.Name, b.Token
+		}
+		a.Name = b.Name[:prefixLen(a.Name, b.Name)]
+		a.Base = min(a.Base, b.Token)
+		if b.Addr == "" {
+			continue
+		}
+		host, port, found := strings.Cut(b.Addr, ":")
+		if found {
+			port = ":" + port
+		}
+		if first {
+			a.Addr, a.Port, first = host, port, false
+		}
+		a.Addr = host[:prefixLen(a.Addr, host)]
+		if port != a.Port {
+			a.Port = ""
+		}
+	}
+	a.Base = a.Base >> termBits << termBits // or it would change with every write
+	return a
+}
+
+func prefixLen(a, b string) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[n] == b[n] {
+		n++
+	}
+	return n
 }
 
 // Gone tells why a task left its machine.
@@ -202,6 +250,7 @@
 
 type groupRecord struct {
 	Layout int               `json:"v"`
+	Same   affix             `json:"same"`
 	Type   string            `json:"type"`
 	Zone   string            `json:"zone"`
 	Spot   bool              `json:"spot,omitempty"`
@@ -213,26 +262,35 @@
 
 // Bytes that parts of a record take at most.
 const (
-	groupBytes = 128 // besides rows, marks and names
-	rowBytes   = 64  // a machine with nothing bound, besides its name and address
-	addrBytes  = 24
-	taskBytes  = 36 // a bound task, besides its job's digits
+	groupBytes = 160 // besides rows, marks and names
+	addrBytes  = 24  // an address that is to come
+	rowBytes   = 30  // a machine with nothing bound, as a rule
+	taskBytes  = 8   // a bound task, besides its job's name
 )
 
-// TaskBytes is at most what binding a task adds to a record.
+// TaskBytes is what binding a task adds to a record.
 func TaskBytes(job string) int { return len(job) + taskBytes }
 
-// Size is at most the record's size in bytes, but for rows never encoded.
-func (g *Group) Size() int {
-	n := groupBytes + len(g.Type) + len(g.Zone)
-	for _, b := range g.Binds {
-		if b.row != "" {
-			n += len(b.row) + 3
-		} else {
-			n += len(b.encode()) + 3
+// rows encodes the group's rows. Those that stand in the record it was read
+// from are taken over if they leave the same out.
+func (g *Group) rows(a affix) []string {
+	rows := make([]string, len(g.Binds))
+	for i, b := range g.Binds {
+		if rows[i] = b.row; b.row == "" || a != g.same {
+			rows[i] = b.encode(a)
 		}
-		if b.Addr == "" {
-			n += addrBytes // it is to come
+	}
+	return rows
+}
+
+// Size is at most the record's size in bytes.
+func (g *Group) Size() int {
+	a := common(g.Binds)
+	n := groupBytes + len(g.Type) + len(g.Zone) + len(a.Name) + len(a.Addr) + len(a.Port)
+	for i, row := range g.rows(a) {
+		n += len(row) + 3
+		if g.Binds[i].Addr == "" {
+			n += addrBytes
 		}
 	}
 	for job, ns := range g.Marks {
@@ -245,21 +303,16 @@
 }
 
 // MachinesPer is how many machines a group may begin with so that its record
-// stays within a part of the value limit when each holds some tasks.
-func MachinesPer(limit int, nameBytes, tasksEach float64) int {
-	each := rowBytes + nameBytes + tasksEach*(taskBytes/2)
+// stays within limit bytes when each holds some tasks.
+func MachinesPer(limit int, tasksEach float64) int {
+	each := rowBytes + tasksEach*(float64(len(jobPrefix))+6+taskBytes)
 	return max(1, int(float64(limit-groupBytes)/each))
 }
 
 // MarshalJSON writes the record.
 func (g *Group) MarshalJSON() ([]byte, error) {
-	r := groupRecord{Layout: layout, Type: g.Type, Zone: g.Zone, Spot: g.Spot, At: g.At, Rows: make([]string, len(g.Binds))}
-	for i, b := range g.Binds {
-		if b.row == "" {
-			b.row = b.encode()
-		}
-		r.Rows[i] = b.row
-	}
+	a := common(g.Binds)
+	r := groupRecord{Layout: layout, Same: a, Type: g.Type, Zone: g.Zone, Spot: g.Spot, At: g.At, Rows: g.rows(a)}
 	if len(g.Marks) > 0 {
 		r.Done = make(map[string]string, len(g.Marks))
 		for job, ns := range g.Marks {
@@ -282,13 +335,14 @@
 	if r.Layout != layout {
 		return nil, ErrLayout
 	}
-	g := &Group{Name: name, Type: r.Type, Zone: r.Zone, Spot: r.Spot, At: r.At, Stamp: stamp, Binds: make([]*Bind, len(r.Rows))}
-	if old != nil && (old.Type != g.Type || old.Zone != g.Zone || old.Spot != g.Spot || old.At != g.At) {
+	g := &Group{Name: name, Type: r.Type, Zone: r.Zone, Spot: r.Spot, At: r.At, Stamp: stamp, Binds: make([]*Bind, len(r.Rows)), same: r.Same}
+	if old != nil && (old.same != g.same || old.Type != g.Type || old.Zone != g.Zone || old.Spot != g.Spot || old.At != g.At) {
 		old = nil
 	}
 	k := 0
 	for i, row := range r.Rows {
 		machine, _, _ := strings.Cut(row, " ")
+		machine = r.Same.Name + machine
 		for old != nil && k < len(old.Binds) && old.Binds[k].Name < machine {
 			k++
 		}
@@ -296,7 +350,7 @@
 			g.Binds[i] = old.Binds[k]
 			continue
 		}
-		b, err := decodeRow(row)
+		b, err := decodeRow(row, r.Same)
 		if err != nil {
 			return nil, err
 		}
@@ -328,22 +382,22 @@
 
 const none = "-"
 
-// encode writes a row: name, address, session, token, flags and drain, then
+// encode writes a row, without what all have in common: name, address, session, token, flags and drain, then
 // the tasks, each with its attempt and perhaps its stop. Tokens are written in
 // base 36; attempts and stops as what they lie below the row's token.
-func (b *Bind) encode() string {
+func (b *Bind) encode(a affix) string {
 	s := make([]byte, 0, 64+24*len(b.Tasks))
-	s = append(s, b.Name...)
+	s = append(s, b.Name[len(a.Name):]...)
 	s = append(s, ' ')
 	if b.Addr == "" {
 		s = append(s, none...)
 	} else {
-		s = append(s, b.Addr...)
+		s = append(s, b.Addr[len(a.Addr):len(b.Addr)-len(a.Port)]...)
 	}
 	s = append(s, ' ')
 	s = strconv.AppendUint(s, b.Session, 10)
 	s = append(s, ' ')
-	s = strconv.AppendUint(s, b.Token, 36)
+	s = strconv.AppendUint(s, b.Token-a.Base, 36)
 	s = append(s, ' ')
 	at := len(s)
 	if b.Quiet {
@@ -377,14 +431,14 @@
 	return string(s)
 }
 
-func decodeRow(row string) (*Bind, error) {
+func decodeRow(row string, a affix) (*Bind, error) {
 	f := strings.Split(row, " ")
 	if len(f) < 5 {
 		return nil, fmt.Errorf("row %.80q", row)
 	}
-	b := &Bind{Name: f[0], row: row}
+	b := &Bind{Name: a.Name + f[0], row: row}
 	if f[1] != none {
-		b.Addr = f[1]
+		b.Addr = a.Addr + f[1] + a.Port
 	}
 	var err, err2 error
 	b.Session, err = strconv.ParseUint(f[2], 10, 64)
@@ -392,6 +446,7 @@
 	if err = errors.Join(err, err2); err != nil {
 		return nil, err
 	}
+	b.Token += a.Base
 	if f[4] != none {
 		flags, drain, _ := strings.Cut(f[4], ":")
 		b.Quiet, b.Closed, b.Drain = strings.Contains(flags, "q"), strings.Contains(flags, "c"), drain
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -39,6 +39,7 @@
 	Refresh    time.Duration // least time between two refreshes
 	MaxAge     time.Duration // a view older than this is refreshed unasked
 	Backoff    time.Duration // first pause after a failure
+	WritePause time.Duration // of the state service's rate, for one write
 }
 
 // Ledger is the actor that owns the watched view.
@@ -90,9 +91,12 @@
 	})
 }
 
-func (l *Ledger) pause(n int) {
-	d := l.opt.Backoff << min(n, 5)
-	d += time.Duration(rand.Int64N(int64(d)))
+// pause waits longer each time.
+func (l *Ledger) pause(n int) { l.sleep(l.opt.Backoff << min(n, 5)) }
+
+// sleep waits for d to 2d.
+func (l *Ledger) sleep(d time.Duration) {
+	d += time.Duration(rand.Int64N(int64(d) + 1))
 	select {
 	case <-time.After(d):
 	case <-l.ctx.Done():
@@ -396,6 +400,7 @@
 			l.Send(func() { reply(Refused) })
 			return
 		case errors.Is(err, state.ErrRefused):
+			slog.Debug("commit refused", "err", err, "writes", len(txn.Writes))
 		default:
 			slog.Debug("commit unanswered", "err", err)
 			unknown = true
@@ -411,6 +416,12 @@
 			l.Send(func() { reply(out) })
 			return
 		}
+		if errors.Is(err, state.ErrBusy) {
+			// The service counts by the second: there is room for this before long,
+			// and whoever waits for it holds up all that comes behind.
+			l.sleep(time.Duration(len(txn.Writes)) * l.opt.WritePause)
+			continue
+		}
 		l.pause(n)
 	}
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -20,12 +20,12 @@
 	for i := range rapid.IntRange(0, 6).Draw(t, "machines") {
 		b := &Bind{
 			Name: fmt.Sprintf("i-%06d", i), Group: "g", Type: "t", Zone: "z", Spot: g.Spot, At: 5,
-			Session: uint64(rapid.IntRange(0, 3).Draw(t, "session")), Token: Token(3) + uint64(rapid.IntRange(0, 99).Draw(t, "token")),
+			Session: uint64(rapid.IntRange(0, 3).Draw(t, "session")), Token: Token(uint64(rapid.IntRange(3, 4).Draw(t, "term"))) + uint64(rapid.IntRange(0, 99).Draw(t, "token")),
 			Quiet: rapid.Bool().Draw(t, "quiet"), Closed: rapid.Bool().Draw(t, "closed"),
 			Drain: rapid.SampledFrom([]string{"", "idle", "spot-notice"}).Draw(t, "drain"),
 		}
 		if b.Session > 0 {
-			b.Addr = "10.0.0.1:9000"
+			b.Addr = rapid.SampledFrom([]string{"10.0.0.1:9000", "10.0.0.14:9000", "10.0.3.1:90", "host"}).Draw(t, "addr")
 		}
 		for n := range rapid.IntRange(0, 5).Draw(t, "n") {
 			task := Bound{Job: rapid.StringMatching(`req-[0-9]{6,9}`).Draw(t, "job"), N: n, Attempt: rapid.Uint64().Draw(t, "attempt")}
@@ -67,7 +67,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		g.Stamp = 9
+		g.Stamp, g.same = 9, got.same
+		for i, b := range g.Binds {
+			b.row = got.Binds[i].row
+		}
 		if len(g.Binds) == 0 {
 			g.Binds, got.Binds = nil, nil
 		}
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -73,7 +73,9 @@
 func (b *Bound) Name() string { return wire.TaskName(b.Job, b.N) }
 
 // Token is the lowest token of a term; generations count up from it.
-func Token(term uint64) uint64 { return term << 32 }
+func Token(term uint64) uint64 { return term << termBits }
+
+const termBits = 32
 
 // Hand names the controller that places a team's tasks.
 type Hand struct {
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -379,7 +379,11 @@
 			p.notes[rec.Group] = group
 		}
 		due := time.Now().Add(wait)
-		if old := group[rec.Name]; old != nil {
+		old := group[rec.Name]
+		if old != nil && !p.proves(rec, old) {
+			old = nil // it was written: what is new waits its own time
+		}
+		if old != nil {
 			if old.Report.Session > n.Report.Session || old.Report.Session == n.Report.Session && old.Report.Seq >= n.Report.Seq {
 				return
 			}
@@ -400,6 +404,12 @@
 	})
 }
 
+// proves tells whether a note still has anything to write.
+func (p *Placer) proves(rec *ledger.Bind, n *noted) bool {
+	proof := Reconcile(rec, n.Report, p.running)
+	return proof.Changes()
+}
+
 func (p *Placer) schedule() {
 	if p.busy || p.scheduled {
 		return
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -26,6 +26,7 @@
 	owed   map[string]bool
 	starts map[string][]wire.Order
 	stops  map[string][]wire.Order
+	gone   int                     // tasks that left
 	rows   map[string]*ledger.Bind // of the machines with starts
 	log    []func()
 }
@@ -39,8 +40,8 @@
 // Parts of the value limit: bound tasks may fill the first, the rest is for
 // what a record says when they end; marks are folded beyond the second.
 const (
-	recordFill = 0.75
-	foldFill   = 0.6
+	recordFill = 0.85
+	foldFill   = 0.7
 )
 
 func (p *Placer) valueBytes(part float64) int { return int(p.cfg.Params.State.ValueKB * 1024 * part) }
@@ -231,6 +232,7 @@
 		}
 		next.Tasks = slices.DeleteFunc(next.Tasks, func(b ledger.Bound) bool { return b.Job == g.Job && b.N == g.N })
 		d.Gone = append(d.Gone, g)
+		r.gone++
 		if j := p.view.Jobs[g.Job]; j != nil && j.Spec != nil {
 			r.tally[j.Spec.Team] = r.tally[j.Spec.Team].Plus(Of(j.Spec), -1)
 		}
@@ -510,6 +512,8 @@
 	}
 	p.pace.ReserveN(r.now, c.Ops())
 	p.busy = true
+	slog.Debug("round", "writes", c.Ops(), "limit", r.limit, "groups", len(r.drafts), "folds", len(r.folds), "ends", len(r.ends),
+		"placed", sum(r.placed), "gone", r.gone, "notes_left", len(p.notes))
 	p.ledger.Commit(c, func(out ledger.Outcome) {
 		p.Send(func() {
 			p.busy = false
@@ -525,6 +529,14 @@
 	})
 }
 
+func sum(m map[string]int) int {
+	n := 0
+	for _, v := range m {
+		n += v
+	}
+	return n
+}
+
 // undo makes nodes that a round has changed say again what their rows do.
 func (p *Placer) undo(machines []string) {
 	for _, m := range machines {
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -68,6 +68,7 @@
 	term       uint64 // of the leadership that this state belongs to
 	hires      int
 	hiring     map[string]bool
+	wants      map[plan.Pool]*plan.Rent // what is still to be rented, of pools with a batch under way
 	deleting   map[string]bool
 	probing    map[string]bool
 	unanswered map[string]time.Time // when a probe failed last
@@ -83,7 +84,7 @@
 		pace:   rate.NewLimiter(rate.Limit(cfg.Params.State.WriteRPS*(1-cfg.Ops.StateShare)/2), cfg.Params.State.TxnOps),
 		view:   ledger.NewRunningView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
 		active: map[string]*ledger.Job{}, runs: place.NewEstimates(), since: map[string]time.Time{}, heard: map[string]time.Time{}, marked: map[string]time.Time{}, errors: map[string]map[string]bool{},
-		refused: map[plan.Pool]time.Time{}, hiring: map[string]bool{}, deleting: map[string]bool{}, edits: map[string]edit{},
+		refused: map[plan.Pool]time.Time{}, hiring: map[string]bool{}, wants: map[plan.Pool]*plan.Rent{}, deleting: map[string]bool{}, edits: map[string]edit{},
 		probing: map[string]bool{}, unanswered: map[string]time.Time{}, deleted: map[string]time.Time{},
 	}
 	l.Subscribe(func(d ledger.Delta) { r.Send(func() { r.apply(d) }) })
@@ -220,7 +221,7 @@
 	}
 	in := r.input()
 	p := plan.Make(in)
-	slog.Debug("pass", "machines", len(in.Machines), "demands", len(in.Demands), "rent", p.Rent, "return", len(p.Return), "unmet", p.Unmet)
+	r.gauge(&in, &p)
 	r.rentAll(p.Rent)
 	for _, m := range p.Return {
 		r.close(m, whyIdle)
@@ -232,6 +233,33 @@
 	}
 }
 
+// gauge logs what a pass saw.
+func (r *Renter) gauge(in *plan.Input, p *plan.Plan) {
+	if !slog.Default().Enabled(r.ctx, slog.LevelDebug) {
+		return
+	}
+	starting, idle, tasks, waiting := 0, 0, 0, 0
+	for i := range in.Machines {
+		m := &in.Machines[i]
+		tasks += len(m.Tasks)
+		switch {
+		case m.ReadyS > 0:
+			starting++
+		case len(m.Tasks) == 0:
+			idle++
+		}
+	}
+	for i := range in.Demands {
+		waiting += in.Demands[i].Count
+	}
+	rents := 0
+	for _, rent := range p.Rent {
+		rents += rent.Count
+	}
+	slog.Debug("pass", "machines", len(in.Machines), "starting", starting, "idle", idle, "tasks", tasks, "demands", len(in.Demands),
+		"waiting", waiting, "rent", rents, "return", len(p.Return), "unmet", p.Unmet)
+}
+
 // input puts together what the plan looks at.
 func (r *Renter) input() plan.Input {
 	now := time.Now()
@@ -314,29 +342,35 @@
 	return n
 }
 
-// rentAll rents what the plan wants, in whole batches, the pool with the
-// largest need first: when many types run short, each gets its first batch
-// before any gets its second.
+// rentAll rents what the plan wants, the pool with the largest need first. Each
+// pool has one batch under way; the next follows at once when it was filled, so
+// that a pool that ran short costs one call and not one for every batch.
 func (r *Renter) rentAll(rents []plan.Rent) {
 	slices.SortStableFunc(rents, func(a, b plan.Rent) int { return cmp.Compare(b.Load, a.Load) })
-	for more := true; more; {
-		more = false
-		for i := range rents {
-			if want := &rents[i]; want.Count > 0 {
-				n := min(want.Count, wire.MaxHire)
-				want.Count -= n
-				more = more || want.Count > 0
-				r.intend(*want, n)
-			}
+	for _, want := range rents {
+		if busy := r.wants[want.Pool]; busy != nil {
+			busy.Count = min(busy.Count, want.Count)
+			continue
 		}
+		r.wants[want.Pool] = &want
+		r.next(want.Pool)
 	}
 }
 
-// intend stores what is to be rented, then rents it.
-func (r *Renter) intend(want plan.Rent, count int) {
-	if time.Now().Before(r.refused[want.Pool]) || len(r.hiring) >= r.atOnce() {
+// next rents the next batch that is wanted of a pool.
+func (r *Renter) next(pool plan.Pool) {
+	want := r.wants[pool]
+	if want == nil || want.Count <= 0 || time.Now().Before(r.refused[pool]) || !r.leads() {
+		delete(r.wants, pool)
 		return
 	}
+	n := min(want.Count, wire.MaxHire)
+	want.Count -= n
+	r.intend(*want, n)
+}
+
+// intend stores what is to be rented, then rents it.
+func (r *Renter) intend(want plan.Rent, count int) {
 	r.hires++
 	name := fmt.Sprintf("r-%d-%d", r.term, r.hires)
 	intent := &ledger.Rent{
@@ -350,19 +384,15 @@
 		Puts:   []ledger.Put{{Key: key, Rec: intent}},
 	}, func(out ledger.Outcome) {
 		delete(r.hiring, name)
-		if out == ledger.Committed {
+		if out != ledger.Committed {
+			delete(r.wants, want.Pool) // the next pass wants it again
+		} else {
 			slog.Info("renting", "hire", name, "type", want.Type, "zone", want.Zone, "spot", want.Spot, "count", count, "load", math.Round(want.Load*100)/100)
 			r.hire(name, intent)
 		}
 	})
 }
 
-// atOnce is how many rentals are under way at most: what the cloud takes in
-// two passes.
-func (r *Renter) atOnce() int {
-	return max(2, int(2*r.cfg.Ops.PassS*r.cfg.Params.Cloud.RPS*r.cfg.Ops.CloudShare))
-}
-
 // commit makes a change within the leader's part of the writes; reply runs in
 // the actor.
 func (r *Renter) commit(c ledger.Commit, reply func(ledger.Outcome)) {
@@ -392,10 +422,12 @@
 	if err != nil && !none {
 		slog.Info("rental unanswered", "hire", name, "err", err)
 		delete(r.hiring, name) // the next pass repeats it
+		delete(r.wants, pool)
 		return
 	}
 	if !r.leads() {
 		delete(r.hiring, name)
+		delete(r.wants, pool)
 		return
 	}
 	slices.Sort(nests)
@@ -430,12 +462,8 @@
 // need, and drops its intent with the last.
 func (r *Renter) record(name string, intent *ledger.Rent, nests []string) {
 	rest := slices.DeleteFunc(nests, func(m string) bool { return !wire.ValidMachine(m) || r.view.Binds[m] != nil })
-	longest := 0
-	for _, m := range rest {
-		longest = max(longest, len(m))
-	}
 	s := r.cfg.Params.State
-	per := ledger.MachinesPer(int(s.ValueKB*1024*groupFill), float64(longest), intent.Tasks)
+	per := ledger.MachinesPer(int(s.ValueKB*1024*groupFill), intent.Tasks)
 	c := ledger.Commit{Guards: []wire.Guard{r.guard()}, Patience: config.Secs(r.cfg.Ops.PassS)}
 	for len(rest) > 0 && len(c.Puts) < s.TxnOps-1 {
 		n := min(per, len(rest))
@@ -454,6 +482,7 @@
 			return
 		}
 		delete(r.hiring, name)
+		r.next(plan.Pool{Type: intent.Type, Zone: intent.Zone, Spot: intent.Spot})
 		r.replan()
 	})
 }
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -282,7 +282,7 @@
 		// Not at once: two that write the same group only hinder each other.
 		wait = config.Secs(r.cfg.Params.Workers.ReportS / 4)
 		if r.to.Tell(w, n) {
-			wait *= 6
+			wait = config.Secs(2 * r.cfg.Params.Workers.ReportS)
 		}
 	}
 	r.to.Note(n, wait)
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -24,6 +24,7 @@
 // Any other error of a change: it may have been executed, or may be yet.
 var (
 	ErrRefused  = errors.New("state service refused the request")
+	ErrBusy     = fmt.Errorf("%w: its rate is used up", ErrRefused)
 	ErrNotFound = errors.New("not found")
 	ErrTooOld   = errors.New("revision too old to follow")
 	ErrNoLease  = errors.New("no such lease")
@@ -84,7 +85,9 @@
 			return err
 		}
 		return &Conflict{Failed: r.Failed, Revision: r.Revision}
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusTooManyRequests:
+		return ErrBusy
+	case http.StatusServiceUnavailable:
 		return fmt.Errorf("%w: %d", ErrRefused, status)
 	case http.StatusBadRequest:
 		if bytes.Contains(b, []byte("no such lease")) {
