Moore and Hodgson choose which waiting jobs give way

Cause: a job counted as able to keep its deadline as long as it could with the whole cluster to itself, so under overload earliest deadline first went on serving jobs until all were late.

--- /dev/null
+++ b/internal/place/order.go
@@ -0,0 +1,89 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// claimant is a job in the queue, as far as its turn depends on it. Times are
+// in seconds from now; work is how long the whole cluster would take for it.
+type claimant struct {
+	work float64
+	run  float64   // of one task
+	due  []float64 // the deadlines it may still keep, the earliest first
+}
+
+// latest is when the last of the job's tasks must have begun to keep a deadline.
+func (c *claimant) latest(s int) float64 { return c.due[s] - c.run }
+
+// stages tells for jobs of one rank which of its deadlines each is to keep, by
+// Moore and Hodgson: taken in order of their latest starts, whenever one would be
+// late, the largest so far gives way. No other order has fewer late. What gives
+// way is tried again with its next deadline, behind those that don't. A job
+// that can't keep any gets the number of its deadlines. from is when the
+// cluster is free to begin; the result is also when it has done all that is on
+// time.
+func stages(jobs []claimant, from float64) ([]int, float64) {
+	stage := make([]int, len(jobs))
+	rest := make([]int, len(jobs))
+	most := 0
+	for i := range jobs {
+		rest[i] = i
+		most = max(most, len(jobs[i].due))
+	}
+	for s := 0; s < most && len(rest) > 0; s++ {
+		var tried, late []int
+		for _, i := range rest {
+			if s < len(jobs[i].due) {
+				tried = append(tried, i)
+			} else {
+				late = append(late, i)
+			}
+		}
+		slices.SortStableFunc(tried, func(a, b int) int { return cmp.Compare(jobs[a].latest(s), jobs[b].latest(s)) })
+		var kept []int
+		end := from
+		for _, i := range tried {
+			kept = append(kept, i)
+			end += jobs[i].work
+			if end <= jobs[i].latest(s) {
+				continue
+			}
+			// The job itself goes if it couldn't be in time even alone.
+			out := len(kept) - 1
+			if from+jobs[i].work <= jobs[i].latest(s) {
+				for k, o := range kept {
+					if jobs[o].work > jobs[kept[out]].work {
+						out = k
+					}
+				}
+			}
+			end -= jobs[kept[out]].work
+			late = append(late, kept[out])
+			kept = slices.Delete(kept, out, out+1)
+		}
+		for _, i := range late {
+			stage[i] = s + 1
+		}
+		from, rest = end, late
+	}
+	return stage, from
+}
+
+// order sorts the queue: by rank, then by stage, then earliest deadline first;
+// jobs that can't keep any deadline by what is left of them, the least first.
+func order(q []waiting) {
+	slices.SortFunc(q, func(a, b waiting) int {
+		if a.job.Spec.Rank != b.job.Spec.Rank {
+			return int(b.job.Spec.Rank - a.job.Spec.Rank)
+		}
+		if a.late != b.late {
+			return a.late - b.late
+		}
+		if a.deadline != b.deadline {
+			return cmp.Compare(a.deadline, b.deadline)
+		}
+		return strings.Compare(a.id, b.id)
+	})
+}
--- /dev/null
+++ b/internal/place/order_test.go
@@ -0,0 +1,62 @@
+package place
+
+import (
+	"math"
+	"math/bits"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "lynxledge/internal/seeded"
+)
+
+// onTime is how many of the jobs in a set are in time when they run one after
+// the other in order of their latest starts.
+func onTime(jobs []claimant, set uint, from float64) int {
+	var in []claimant
+	for i := range jobs {
+		if set&(1<<i) != 0 {
+			in = append(in, jobs[i])
+		}
+	}
+	slices.SortFunc(in, func(a, b claimant) int { return int(math.Copysign(1, a.latest(0)-b.latest(0))) })
+	n := 0
+	for _, j := range in {
+		if from += j.work; from <= j.latest(0) {
+			n++
+		}
+	}
+	return n
+}
+
+// As many jobs as possible are to keep their first deadline, and those that are
+// can: plain earliest deadline first made nearly all of them late.
+func TestStagesKeepAsManyAsCanBe(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from := rapid.Float64Range(0, 20).Draw(t, "from")
+		jobs := make([]claimant, rapid.IntRange(1, 7).Draw(t, "jobs"))
+		for i := range jobs {
+			d := rapid.Float64Range(-10, 100).Draw(t, "due")
+			jobs[i] = claimant{work: rapid.Float64Range(0.1, 30).Draw(t, "work"), run: rapid.Float64Range(0, 20).Draw(t, "run"), due: []float64{d, 2 * max(d, 1)}}
+		}
+		stage, _ := stages(jobs, from)
+		var kept uint
+		for i, s := range stage {
+			if s == 0 {
+				kept |= 1 << i
+			}
+			if s > 2 {
+				t.Fatalf("stage %d of 2", s)
+			}
+		}
+		if n := onTime(jobs, kept, from); n != bits.OnesCount(kept) {
+			t.Fatalf("%d of %d kept jobs are in time", n, bits.OnesCount(kept))
+		}
+		for set := range uint(1) << len(jobs) {
+			if n := bits.OnesCount(set); n > bits.OnesCount(kept) && onTime(jobs, set, from) == n {
+				t.Fatalf("%b could be in time, kept %b", set, kept)
+			}
+		}
+	})
+}
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -59,7 +59,7 @@
 	nodes  map[string]*Node
 	all    []*Node
 	roomy  []*Node // those with room
-	pools  map[pool]int
+	pools  map[pool]stock
 	starts map[string]*Node // machines that are coming up
 	tally  Tally
 
@@ -75,6 +75,12 @@
 	spot      bool
 }
 
+// stock is what a pool has.
+type stock struct {
+	open int // machines that may take tasks
+	kept Res // what replicas hold of them
+}
+
 type noted struct {
 	Note
 	due time.Time // when this process writes it, if no other has
@@ -106,7 +112,7 @@
 		view:  ledger.NewRunningView(ledger.ChunkTasks(s.ValueKB)),
 		types: map[string]*wire.MachineType{}, active: map[string]*ledger.Job{}, runs: NewEstimates(), low: map[string]int{},
 		images: map[string][]image{}, failed: map[string]*failure{}, shaky: map[string]time.Time{},
-		nodes: map[string]*Node{}, pools: map[pool]int{}, starts: map[string]*Node{}, tally: Tally{},
+		nodes: map[string]*Node{}, pools: map[pool]stock{}, starts: map[string]*Node{}, tally: Tally{},
 		notes: map[string]map[string]*noted{}, ripe: map[string]time.Time{},
 	}
 	l.Subscribe(func(d ledger.Delta) { p.Send(func() { p.apply(d) }) })
@@ -324,7 +330,14 @@
 		p.tally[j.Team] = p.tally[j.Team].Plus(Of(j), sign)
 	}
 	if n.pool != nil {
-		p.pools[*n.pool] += int(sign)
+		s := p.pools[*n.pool]
+		s.open += int(sign)
+		for _, j := range n.held {
+			if j.Service() {
+				s.kept = s.kept.Plus(Of(j), sign)
+			}
+		}
+		p.pools[*n.pool] = s
 	}
 	byRoom := func(n *Node) *int { return &n.roomy }
 	if sign < 0 {
@@ -443,17 +456,16 @@
 	id       string
 	job      *ledger.Job
 	hand     uint64 // stamp of the team's hand record
-	late     int    // how many of its deadlines can't be met any more
+	late     int    // how many of its deadlines it is not to keep
 	deadline float64
+	claim    claimant
 }
 
 // queue orders the jobs that have tasks to place: by rank, then earliest
-// deadline first. A job that can't meet a deadline any more, though it had the
-// whole cluster, gives way to those that can: under overload plain EDF makes
-// every job late. Of those that can't meet any, the one with the least left
-// goes first. None gives way for long: one that has waited for a lease's time
-// twice over without a single start goes first in its rank, or the largest
-// would starve behind all that are smaller.
+// deadline first. Under overload plain EDF makes every job late; so the largest
+// of those that can't all be in time give way. None gives way for long: one
+// that has waited for two leases without a single start goes first in its rank,
+// or the largest would starve behind all that are smaller.
 func (p *Placer) queue(mine map[string]*ledger.Hand, now time.Time) []waiting {
 	var q []waiting
 	starved := 2 * p.cfg.Params.Workers.LeaseS
@@ -470,49 +482,74 @@
 		}
 		w := waiting{id: id, job: j, hand: mine[j.Spec.Team].Stamp}
 		run := p.runs.RunS(j.Spec)
-		need := run * (1 + float64(left)/p.slots(j.Spec))
-		deadlines := p.cfg.Deadlines(j.Spec.Class, j.Spec.DeadlineS)
 		age := float64(now.UnixMilli()-j.At) / 1000
-		for _, d := range deadlines {
-			w.deadline = float64(j.At)/1000 + d
-			if age+need <= d {
-				break
-			}
-			w.late++
-		}
-		switch {
-		case age > starved && left == j.Tasks:
+		if age > starved && left == j.Tasks {
 			w.late, w.deadline = -1, float64(j.At)
-		case w.late == len(deadlines) && !j.Spec.Service():
-			w.deadline = run * float64(left) * j.Spec.CPUs
+			q = append(q, w)
+			continue
+		}
+		w.claim = claimant{work: run * float64(left) / p.slots(j.Spec), run: run}
+		for _, d := range p.cfg.Deadlines(j.Spec.Class, j.Spec.DeadlineS) {
+			w.claim.due = append(w.claim.due, d-age)
 		}
 		q = append(q, w)
 	}
-	slices.SortFunc(q, func(a, b waiting) int {
-		if a.job.Spec.Rank != b.job.Spec.Rank {
-			return int(b.job.Spec.Rank - a.job.Spec.Rank)
-		}
-		if a.late != b.late {
-			return a.late - b.late
+	order(q) // a fixed order among equals
+	// What runs already is half done, taken all together.
+	from := 0.0
+	for id, j := range p.active {
+		if n := len(p.view.Bound[id]); n > 0 && !j.Spec.Service() {
+			from += p.runs.RunS(j.Spec) / 2 * float64(n) / p.slots(j.Spec)
 		}
-		if a.deadline != b.deadline {
-			if a.deadline < b.deadline {
-				return -1
-			}
-			return 1
+	}
+	for i := 0; i < len(q); {
+		k := i
+		for k < len(q) && q[k].job.Spec.Rank == q[i].job.Spec.Rank {
+			k++
 		}
-		return strings.Compare(a.id, b.id)
-	})
+		from = p.judgeRank(q[i:k], from, now)
+		i = k
+	}
+	order(q)
 	return q
 }
 
+// judgeRank tells of the waiting jobs of one rank which deadline each is to
+// keep, given when the ranks above leave the cluster to it, and returns when
+// this one does.
+func (p *Placer) judgeRank(q []waiting, from float64, now time.Time) float64 {
+	var claims []claimant
+	var of []int
+	for i := range q {
+		if q[i].late < 0 {
+			from += q[i].claim.work
+		} else if !q[i].job.Spec.Service() {
+			claims = append(claims, q[i].claim)
+			of = append(of, i)
+		}
+	}
+	stage, end := stages(claims, from)
+	for n, i := range of {
+		w := &q[i]
+		w.late = stage[n]
+		if w.late < len(w.claim.due) {
+			w.deadline = float64(now.UnixMilli())/1000 + w.claim.due[w.late]
+		} else {
+			w.deadline = w.claim.work
+		}
+	}
+	return end
+}
+
 // slots is how many tasks of a job the machines that are up could run at once
-// if they had nothing else to do.
+// if they had nothing else to do but to keep the replicas they hold.
 func (p *Placer) slots(j *wire.Job) float64 {
 	sum := 1.0
-	for k, n := range p.pools {
-		if n > 0 && Allowed(j, k.typ, k.zone, k.spot) {
-			sum += float64(n) * math.Floor(1/Of(j).Share(Capacity(p.types[k.typ]))+slack)
+	for k, s := range p.pools {
+		if s.open > 0 && Allowed(j, k.typ, k.zone, k.spot) {
+			limit := Capacity(p.types[k.typ])
+			whole := float64(s.open) * math.Floor(1/Of(j).Share(limit)+slack)
+			sum += whole * max(0, 1-s.kept.Share(limit)/float64(s.open))
 		}
 	}
 	return sum
@@ -530,8 +567,8 @@
 	if n.Spot || j.Spread && j.Tasks > 1 || j.Zone != "" {
 		return false
 	}
-	for k, count := range p.pools {
-		if count > 0 && !k.spot && p.offers[k.zone] > p.offers[n.Zone] {
+	for k, s := range p.pools {
+		if s.open > 0 && !k.spot && p.offers[k.zone] > p.offers[n.Zone] {
 			return false
 		}
 	}
