One intent for all batches of a pool; submissions leave writes to the leader

Cause: at the start every node tried to accept jobs at the whole rate, so the leader's first rentals waited 10 s behind refused writes, and each batch of 50 machines cost an intent, its deletion and a wait. Submissions that come too fast get 429 with Retry-After.

--- a/internal/frontdoor/frontdoor.go
+++ b/internal/frontdoor/frontdoor.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"golang.org/x/time/rate"
 
 	"lynxledge/internal/actor"
 	"lynxledge/internal/config"
@@ -45,6 +46,7 @@
 	ledger  *ledger.Ledger
 	reports *reports.Reports
 	peer    Peer
+	pace    *rate.Limiter // of accepted jobs
 	stale   time.Duration // a view older than this is not worth a commit
 
 	view  *ledger.View
@@ -57,6 +59,7 @@
 	f := &Front{
 		Actor: actor.Start(ctx, "frontdoor", 512), cfg: cfg, ledger: l, reports: r, peer: peer,
 		stale: config.Secs(cfg.Params.Workers.ReportS),
+		pace:  newPace(cfg),
 		view:  ledger.NewView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
 	}
 	l.Subscribe(func(d ledger.Delta) {
@@ -70,6 +73,16 @@
 	return f
 }
 
+// acceptShare is the part of the state service's writes that all controllers
+// together use for new jobs. They come seldom but for the first minute, in which
+// nothing is placed yet.
+const acceptShare = 0.8
+
+func newPace(cfg *config.Config) *rate.Limiter {
+	each := cfg.Params.State.WriteRPS * acceptShare / float64(len(cfg.Peers)+1)
+	return rate.NewLimiter(rate.Limit(each), 1+int(2*each))
+}
+
 // SetTypes tells the front of the machine types.
 func (f *Front) SetTypes(types []wire.MachineType) { f.Send(func() { f.types = types }) }
 
@@ -310,6 +323,13 @@
 		return
 	}
 	key := ledger.Key(ledger.KindJob, j.ID)
+	// A crowd of users must not take all the writes: who comes too early is told
+	// when to come back.
+	if !f.pace.Allow() {
+		w.Header().Set("Retry-After", "1")
+		refuse(w, http.StatusTooManyRequests, "too many submissions at once")
+		return
+	}
 	out, ok := f.commit(ctx, ledger.Commit{
 		Guards:   []wire.Guard{{Key: key}},
 		Puts:     []ledger.Put{{Key: key, Rec: &ledger.Job{Spec: j, Tasks: j.Tasks, At: time.Now().UnixMilli()}}},
--- a/internal/frontdoor/frontdoor_test.go
+++ b/internal/frontdoor/frontdoor_test.go
@@ -33,7 +33,7 @@
 		defer cancel()
 		cfg := &config.Config{Ops: config.DefaultOps()}
 		cfg.Params.Workers = config.Workers{ReportS: 3, LeaseS: 34, CancelS: 64}
-		cfg.Params.State = config.State{ValueKB: 8, TxnOps: 8}
+		cfg.Params.State = config.State{ValueKB: 8, TxnOps: 8, RPS: 150, WriteRPS: 50}
 		cfg.Params.Teams = []config.Team{{Name: "red", CPUsMax: 6}}
 		s := standin.NewState()
 		conn := &standin.Conn{State: s, Net: standin.NewNet(1, time.Millisecond), Node: "n0", Timeout: time.Second}
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -109,7 +109,8 @@
 	Type  string `json:"type"`
 	Zone  string `json:"zone"`
 	Spot  bool   `json:"spot,omitempty"`
-	Count int    `json:"count"`
+	Count int    `json:"count"` // still to be rented
+	Batch int    `json:"batch,omitempty"`
 	// Tasks is how many tasks a machine is expected to hold; it sizes groups.
 	Tasks float64 `json:"tasks,omitempty"`
 	At    int64   `json:"at"`
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -67,8 +67,7 @@
 
 	term       uint64 // of the leadership that this state belongs to
 	hires      int
-	hiring     map[string]bool
-	wants      map[plan.Pool]*plan.Rent // what is still to be rented, of pools with a batch under way
+	hiring     map[string]plan.Pool // by intent
 	deleting   map[string]bool
 	probing    map[string]bool
 	unanswered map[string]time.Time // when a probe failed last
@@ -81,10 +80,10 @@
 func Start(ctx context.Context, cfg *config.Config, boot uint64, l *ledger.Ledger, c Cloud, p Prober, report func(*wire.Report)) *Renter {
 	r := &Renter{
 		Actor: actor.Start(ctx, "renter", 256), ctx: ctx, cfg: cfg, boot: boot, begun: time.Now(), ledger: l, cloud: c, prober: p, report: report,
-		pace:   rate.NewLimiter(rate.Limit(cfg.Params.State.WriteRPS*(1-cfg.Ops.StateShare)/2), cfg.Params.State.TxnOps),
+		pace:   rate.NewLimiter(rate.Limit(cfg.Params.State.WriteRPS*(1-cfg.Ops.StateShare)*rentPart), cfg.Params.State.TxnOps),
 		view:   ledger.NewRunningView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
 		active: map[string]*ledger.Job{}, runs: place.NewEstimates(), since: map[string]time.Time{}, heard: map[string]time.Time{}, marked: map[string]time.Time{}, errors: map[string]map[string]bool{},
-		refused: map[plan.Pool]time.Time{}, hiring: map[string]bool{}, wants: map[plan.Pool]*plan.Rent{}, deleting: map[string]bool{}, edits: map[string]edit{},
+		refused: map[plan.Pool]time.Time{}, hiring: map[string]plan.Pool{}, deleting: map[string]bool{}, edits: map[string]edit{},
 		probing: map[string]bool{}, unanswered: map[string]time.Time{}, deleted: map[string]time.Time{},
 	}
 	l.Subscribe(func(d ledger.Delta) { r.Send(func() { r.apply(d) }) })
@@ -93,6 +92,9 @@
 	return r
 }
 
+// rentPart is the part of the writes left by placing that the leader may use.
+const rentPart = 2.0 / 3
+
 // SetTypes tells the renter of the machine types.
 func (r *Renter) SetTypes(types []wire.MachineType) { r.Send(func() { r.types = types }) }
 
@@ -318,7 +320,7 @@
 	for _, intent := range r.view.Rents { // rented, though not known by name yet
 		for i := range intent.Count {
 			in.Machines = append(in.Machines, plan.Machine{
-				Name: fmt.Sprintf("rented-%d", i), Pool: plan.Pool{Type: intent.Type, Zone: intent.Zone, Spot: intent.Spot}, Open: true,
+				Name: fmt.Sprintf("rented-%d", i), Pool: poolOf(intent), Open: true,
 				ReadyS: r.bootS(intent.Type),
 			})
 		}
@@ -342,52 +344,44 @@
 	return n
 }
 
-// rentAll rents what the plan wants, the pool with the largest need first. Each
-// pool has one batch under way; the next follows at once when it was filled, so
-// that a pool that ran short costs one call and not one for every batch.
+// rentAll rents what the plan wants, the pool with the largest need first. A
+// pool has one rental under way, whose batches follow each other: one that runs
+// short costs one call, not one for every batch.
 func (r *Renter) rentAll(rents []plan.Rent) {
+	busy := map[plan.Pool]bool{}
+	for _, pool := range r.hiring {
+		busy[pool] = true
+	}
+	for _, i := range r.view.Rents {
+		busy[poolOf(i)] = true
+	}
 	slices.SortStableFunc(rents, func(a, b plan.Rent) int { return cmp.Compare(b.Load, a.Load) })
 	for _, want := range rents {
-		if busy := r.wants[want.Pool]; busy != nil {
-			busy.Count = min(busy.Count, want.Count)
-			continue
+		if !busy[want.Pool] && !time.Now().Before(r.refused[want.Pool]) {
+			r.intend(want)
 		}
-		r.wants[want.Pool] = &want
-		r.next(want.Pool)
 	}
 }
 
-// next rents the next batch that is wanted of a pool.
-func (r *Renter) next(pool plan.Pool) {
-	want := r.wants[pool]
-	if want == nil || want.Count <= 0 || time.Now().Before(r.refused[pool]) || !r.leads() {
-		delete(r.wants, pool)
-		return
-	}
-	n := min(want.Count, wire.MaxHire)
-	want.Count -= n
-	r.intend(*want, n)
-}
+func poolOf(i *ledger.Rent) plan.Pool { return plan.Pool{Type: i.Type, Zone: i.Zone, Spot: i.Spot} }
 
 // intend stores what is to be rented, then rents it.
-func (r *Renter) intend(want plan.Rent, count int) {
+func (r *Renter) intend(want plan.Rent) {
 	r.hires++
 	name := fmt.Sprintf("r-%d-%d", r.term, r.hires)
 	intent := &ledger.Rent{
 		Type: want.Type, Zone: want.Zone, Spot: want.Spot,
-		Count: count, Tasks: want.Tasks, At: time.Now().UnixMilli(),
+		Count: want.Count, Tasks: want.Tasks, At: time.Now().UnixMilli(),
 	}
 	key := ledger.Key(ledger.KindRent, name)
-	r.hiring[name] = true
+	r.hiring[name] = want.Pool
 	r.commit(ledger.Commit{
 		Guards: []wire.Guard{r.guard(), {Key: key}},
 		Puts:   []ledger.Put{{Key: key, Rec: intent}},
 	}, func(out ledger.Outcome) {
 		delete(r.hiring, name)
-		if out != ledger.Committed {
-			delete(r.wants, want.Pool) // the next pass wants it again
-		} else {
-			slog.Info("renting", "hire", name, "type", want.Type, "zone", want.Zone, "spot", want.Spot, "count", count, "load", math.Round(want.Load*100)/100)
+		if out == ledger.Committed {
+			slog.Info("renting", "hire", name, "type", want.Type, "zone", want.Zone, "spot", want.Spot, "count", want.Count, "load", math.Round(want.Load*100)/100)
 			r.hire(name, intent)
 		}
 	})
@@ -402,42 +396,44 @@
 	})
 }
 
-// hire makes the call of a stored intent; the same name gets the same answer.
+// hire makes the next call of a stored intent. Each batch has a name of its
+// own; the same name gets the same answer.
 func (r *Renter) hire(name string, intent *ledger.Rent) {
-	if r.hiring[name] {
+	if _, busy := r.hiring[name]; busy {
 		return
 	}
-	r.hiring[name] = true
+	r.hiring[name] = poolOf(intent)
 	go func() {
 		nests, err := r.cloud.Hire(r.ctx, wire.HireRequest{
-			Request: name, Type: intent.Type, Zone: intent.Zone, Spot: intent.Spot, Count: intent.Count,
+			Request: fmt.Sprintf("%s-%d", name, intent.Batch), Type: intent.Type, Zone: intent.Zone, Spot: intent.Spot,
+			Count: min(intent.Count, wire.MaxHire),
 		})
 		r.Send(func() { r.hired(name, intent, nests, err) })
 	}()
 }
 
 func (r *Renter) hired(name string, intent *ledger.Rent, nests []string, err error) {
-	pool := plan.Pool{Type: intent.Type, Zone: intent.Zone, Spot: intent.Spot}
+	pool := poolOf(intent)
 	none := errors.Is(err, cloud.ErrNoCapacity) || errors.Is(err, cloud.ErrMalformed)
 	if err != nil && !none {
 		slog.Info("rental unanswered", "hire", name, "err", err)
 		delete(r.hiring, name) // the next pass repeats it
-		delete(r.wants, pool)
 		return
 	}
 	if !r.leads() {
 		delete(r.hiring, name)
-		delete(r.wants, pool)
 		return
 	}
 	slices.Sort(nests)
-	if none || len(nests) < intent.Count {
+	left := intent.Count - min(intent.Count, wire.MaxHire)
+	if none || len(nests) < min(intent.Count, wire.MaxHire) {
 		r.refused[pool] = time.Now().Add(config.Secs(r.cfg.Ops.PassS * refusalPasses))
 		r.again = true
 		r.giveUpBoots(pool)
-		slog.Info("cloud gave less", "hire", name, "type", intent.Type, "zone", intent.Zone, "spot", intent.Spot, "asked", intent.Count, "got", len(nests))
+		slog.Info("cloud gave less", "hire", name, "batch", intent.Batch, "type", intent.Type, "zone", intent.Zone, "spot", intent.Spot, "asked", intent.Count, "got", len(nests))
+		left = 0
 	}
-	r.record(name, intent, nests)
+	r.record(name, intent, left, nests)
 }
 
 // giveUpBoots returns the machines of a pool whose boots drag on: while they
@@ -458,10 +454,13 @@
 // refusalPasses is for how many passes a pool that ran short is left alone.
 const refusalPasses = 4
 
-// record writes the machines of a rental, in as many groups as their records
-// need, and drops its intent with the last.
-func (r *Renter) record(name string, intent *ledger.Rent, nests []string) {
-	rest := slices.DeleteFunc(nests, func(m string) bool { return !wire.ValidMachine(m) || r.view.Binds[m] != nil })
+// record writes the machines of a batch, in as many groups as their records
+// need. With the last, the intent goes on to the next batch, or goes.
+func (r *Renter) record(name string, intent *ledger.Rent, left int, nests []string) {
+	rest := slices.DeleteFunc(nests, func(m string) bool {
+		_, returned := r.deleted[m]
+		return returned || !wire.ValidMachine(m) || r.view.Binds[m] != nil
+	})
 	s := r.cfg.Params.State
 	per := ledger.MachinesPer(int(s.ValueKB*1024*groupFill), intent.Tasks)
 	c := ledger.Commit{Guards: []wire.Guard{r.guard()}, Patience: config.Secs(r.cfg.Ops.PassS)}
@@ -473,16 +472,22 @@
 		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: ledger.NewGroup(group, intent.Type, intent.Zone, intent.Spot, intent.At, rest[:n], ledger.Token(r.term))})
 		rest = rest[n:]
 	}
-	if len(rest) == 0 {
-		c.Delete = []string{ledger.Key(ledger.KindRent, name)}
+	next := *intent
+	if key := ledger.Key(ledger.KindRent, name); len(rest) == 0 && left > 0 {
+		next.Count, next.Batch, next.At = left, intent.Batch+1, time.Now().UnixMilli()
+		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: &next})
+	} else if len(rest) == 0 {
+		c.Delete = []string{key}
 	}
 	r.commit(c, func(out ledger.Outcome) {
 		if out == ledger.Committed && len(rest) > 0 {
-			r.record(name, intent, rest)
+			r.record(name, intent, left, rest)
 			return
 		}
 		delete(r.hiring, name)
-		r.next(plan.Pool{Type: intent.Type, Zone: intent.Zone, Spot: intent.Spot})
+		if out == ledger.Committed && left > 0 {
+			r.hire(name, &next)
+		}
 		r.replan()
 	})
 }
@@ -491,11 +496,11 @@
 // fill when its machines are in use.
 const groupFill = 0.8
 
-// replan runs the pass again once the calls of the last one are answered, if
-// a pool ran short: waiting for the next pass at every refusal would leave
-// work without a machine for as many passes as there are pools.
+// replan runs the pass again at once if a pool ran short: waiting for the next
+// pass at every refusal would leave work without a machine for as many passes
+// as there are pools. What is being rented counts as there.
 func (r *Renter) replan() {
-	if r.again && len(r.hiring) == 0 {
+	if r.again {
 		r.again = false
 		r.decide()
 	}
@@ -533,7 +538,7 @@
 	}
 	renting := map[plan.Pool]bool{}
 	for _, i := range r.view.Rents {
-		renting[plan.Pool{Type: i.Type, Zone: i.Zone, Spot: i.Spot}] = true
+		renting[poolOf(i)] = true
 	}
 	c := ledger.Commit{Guards: []wire.Guard{r.guard()}}
 	for _, h := range hosts {
