--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -93,7 +93,7 @@
 }
 
 // rentPart is the part of the writes left by placing that the leader may use.
-const rentPart = 2.0 / 3
+const rentPart = 1.0
 
 // SetTypes tells the renter of the machine types.
 func (r *Renter) SetTypes(types []wire.MachineType) { r.Send(func() { r.types = types }) }
@@ -270,6 +270,12 @@
 		Types: r.types, LagS: ops.BootLagS, PassS: ops.PassS, BillingS: ops.BillingPeriodS, Headroom: ops.Headroom, Premium: ops.Premium,
 		Refused: func(p plan.Pool) bool { return now.Before(r.refused[p]) },
 	}
+	pools := map[plan.Pool]bool{}
+	for _, b := range r.view.Binds {
+		if b.Open() {
+			pools[plan.Pool{Type: b.Type, Zone: b.Zone, Spot: b.Spot}] = true
+		}
+	}
 	for id, j := range r.active {
 		n := r.view.Waits(id, j)
 		if n <= 0 {
@@ -285,7 +291,7 @@
 		}
 		in.Demands = append(in.Demands, plan.Demand{
 			Job: j.Spec, Count: r.limited(j, n), RunS: r.runs.RunS(j.Spec), Zones: place.ZonesOf(r.view, id),
-			DeadlineS: due, Overdue: age > overdueTimes*deadlines[len(deadlines)-1],
+			DeadlineS: due, Overdue: age > overdueTimes*deadlines[len(deadlines)-1] && !r.served(j.Spec, pools),
 		})
 	}
 	for name, b := range r.view.Binds {
@@ -332,6 +338,23 @@
 // machines before any machine will do.
 const overdueTimes = 4
 
+// served tells whether any machine that is up may run the job's tasks: then it
+// waits its turn, however late it is. Dearer machines would not make it any
+// less late.
+func (r *Renter) served(j *wire.Job, pools map[plan.Pool]bool) bool {
+	for i := range r.types {
+		t := &r.types[i]
+		for _, z := range t.Zones {
+			for _, spot := range []bool{false, true} {
+				if pools[plan.Pool{Type: t.Name, Zone: z, Spot: spot}] && place.Allowed(j, t.Name, z, spot) && place.Of(j).Fits(place.Capacity(t)) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // limited is how many of n waiting tasks the team's limit lets run at once.
 func (r *Renter) limited(j *ledger.Job, n int) int {
 	team, ok := r.cfg.Params.Team(j.Spec.Team)
@@ -577,7 +600,7 @@
 	report := config.Secs(r.cfg.Params.Workers.ReportS)
 	silence := time.Duration(float64(report) * r.cfg.Ops.Silence)
 	var silent, quiet []string
-	up := 0
+	up, lostIn := map[string]int{}, map[string]int{} // by zone
 	for m, b := range r.view.Binds {
 		age := now.Sub(time.UnixMilli(b.At))
 		switch {
@@ -587,7 +610,7 @@
 				r.close(m, "never came up")
 			}
 		default:
-			up++
+			up[b.Zone]++
 			since := now.Sub(r.heard[m])
 			if since > report*3/2 {
 				r.probe(m, b)
@@ -597,6 +620,7 @@
 			}
 			if since > silence && r.unanswered[m].After(r.heard[m]) {
 				silent = append(silent, m)
+				lostIn[b.Zone]++
 			}
 		}
 	}
@@ -615,11 +639,11 @@
 		if !r.view.Binds[m].Quiet || now.Sub(r.marked[m]) < report*4/3 {
 			continue
 		}
-		// When most machines are silent, the fault is more likely ours.
-		if 2*len(silent) > up && now.Sub(r.heard[m]) < config.Secs(2*r.cfg.Params.Workers.LeaseS) {
-			continue
-		}
-		if now.Sub(r.heard[m]) < lost && !r.replaceable(m) {
+		// When most machines of a zone are silent at once, it is cut off, or we
+		// are: they will be back with their images, and new ones in their place
+		// would not be heard either.
+		zone := r.view.Binds[m].Zone
+		if now.Sub(r.heard[m]) < lost && (2*lostIn[zone] > up[zone] || !r.replaceable(m)) {
 			continue
 		}
 		r.close(m, "silent")
