--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -459,16 +459,18 @@
 	late     int    // how many of its deadlines it is not to keep
 	deadline float64
 	claim    claimant
+	most     int // tasks to place at most
 }
 
 // queue orders the jobs that have tasks to place: by rank, then earliest
 // deadline first. Under overload plain EDF makes every job late; so the largest
-// of those that can't all be in time give way. None gives way for long: one
-// that has waited for two leases without a single start goes first in its rank,
-// or the largest would starve behind all that are smaller.
+// of those that can't all be in time give way. None gives way for ever: one that
+// has waited for three leases without a single start goes first in its rank with
+// one task, or the largest would starve behind all that are smaller. More than
+// that would make the whole queue late again.
 func (p *Placer) queue(mine map[string]*ledger.Hand, now time.Time) []waiting {
 	var q []waiting
-	starved := 2 * p.cfg.Params.Workers.LeaseS
+	starved := 3 * p.cfg.Params.Workers.LeaseS
 	for id, j := range p.active {
 		if mine[j.Spec.Team] == nil {
 			continue
@@ -480,11 +482,14 @@
 		if f := p.failed[id]; f != nil && now.Before(f.until) {
 			continue
 		}
-		w := waiting{id: id, job: j, hand: mine[j.Spec.Team].Stamp}
+		w := waiting{id: id, job: j, hand: mine[j.Spec.Team].Stamp, most: left}
 		run := p.runs.RunS(j.Spec)
 		age := float64(now.UnixMilli()-j.At) / 1000
 		if age > starved && left == j.Tasks {
 			w.late, w.deadline = -1, float64(j.At)
+			if !j.Spec.Service() {
+				w.most = 1
+			}
 			q = append(q, w)
 			continue
 		}
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -351,7 +351,7 @@
 	var others []*Node
 	failing := p.failed[w.id] != nil && p.failed[w.id].count >= probeAfter
 	since := 0 // tasks placed since the sample was drawn
-	for n := p.low[w.id]; n < w.job.Tasks; n++ {
+	for n := p.low[w.id]; n < w.job.Tasks && r.placed[w.id] < w.most; n++ {
 		if failing && len(p.view.Bound[w.id])+r.placed[w.id] > 0 {
 			return // one at a time until one succeeds
 		}
