Work that may wait a little preempts only when room has not come free

Change: outside prod, preemption begins at half the time that the aims give a start, or when a deadline presses; for an image only where the class has an aim on starting that the fetch would miss.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -238,5 +238,18 @@
 	return slices.Compact(out)
 }
 
+// StartWithin is the time that the aims give tasks of a class to start, and
+// whether an aim says so of the class itself; +Inf if none speaks of it.
+func (c *Config) StartWithin(class string) (s float64, own bool) {
+	s = math.Inf(1)
+	for _, o := range c.Params.Objectives {
+		if o.WithinS > 0 && (o.Kind == "guarantee" || o.Kind == "wait" && o.Class == class) {
+			s = math.Min(s, o.WithinS)
+			own = own || o.Kind == "wait"
+		}
+	}
+	return s, own
+}
+
 // Secs turns seconds into a Duration.
 func Secs(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -347,6 +347,11 @@
 		}
 		return nodes
 	}
+	// Room comes free all the time: work that may wait a little takes no other's
+	// place before that. Prod does.
+	within, _ := p.cfg.StartWithin(spec.Class)
+	age := r.now.Sub(time.UnixMilli(w.job.At)).Seconds()
+	patient := spec.Rank == wire.RankProd || age >= (within-p.cfg.Params.Workers.ReportS/3)/2 || w.hurried()
 	sample := avoid(p.candidates(r, spec))
 	var others []*Node
 	failing := p.failed[w.id] != nil && p.failed[w.id].count >= probeAfter
@@ -372,14 +377,13 @@
 			sample, since = avoid(p.candidates(r, spec)), 0
 			node = Pick(spec, zones, p.offers, sample)
 		}
-		preempts := spec.Rank >= wire.RankHigh || r.tally.WithinGuarantee(team, need)
+		preempts := patient && (spec.Rank >= wire.RankHigh || r.tally.WithinGuarantee(team, need))
 		var v *Victims
-		if preempts && (node == nil || spec.Rank >= wire.RankHigh && !node.Image(spec.Image)) {
+		if preempts && (node == nil || spec.Rank >= wire.RankHigh && p.fetchesTooLong(spec, node)) {
 			if others == nil {
 				others = avoid(p.others(r))
 			}
-			// A fetch takes longer than urgent work may wait: where its image is,
-			// other work makes room for it.
+			// Where its image is, other work makes room for it.
 			where := others
 			if node != nil {
 				where = withImage(others, spec.Image)
@@ -418,6 +422,22 @@
 	}
 }
 
+// fetchesTooLong tells whether a task would start too late for the aims of its
+// class because the node lacks its image.
+func (p *Placer) fetchesTooLong(j *wire.Job, n *Node) bool {
+	within, own := p.cfg.StartWithin(j.Class)
+	return own && !n.Image(j.Image) && n.Type.FetchGBps > 0 && j.ImageGB/n.Type.FetchGBps > within*fetchPart
+}
+
+// fetchPart is the part of the time to a start that a fetch may take.
+const fetchPart = 0.6
+
+// hurried tells whether a job must start soon to keep the deadline it is to
+// keep, if it has one.
+func (w *waiting) hurried() bool {
+	return w.late >= 0 && w.late < len(w.claim.due) && w.claim.latest(w.late) < w.claim.run/2
+}
+
 // bind puts a task into a machine's row; false when there is no room for that.
 func (p *Placer) bind(r *round, node *Node, w waiting, n int) bool {
 	d := p.open(r, node.Group)
