--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -600,7 +600,7 @@
 	report := config.Secs(r.cfg.Params.Workers.ReportS)
 	silence := time.Duration(float64(report) * r.cfg.Ops.Silence)
 	var silent, quiet []string
-	up, lostIn := map[string]int{}, map[string]int{} // by zone
+	all, up, lostIn := 0, map[string]int{}, map[string]int{} // by zone
 	for m, b := range r.view.Binds {
 		age := now.Sub(time.UnixMilli(b.At))
 		switch {
@@ -610,6 +610,7 @@
 				r.close(m, "never came up")
 			}
 		default:
+			all++
 			up[b.Zone]++
 			since := now.Sub(r.heard[m])
 			if since > report*3/2 {
@@ -639,17 +640,22 @@
 		if !r.view.Binds[m].Quiet || now.Sub(r.marked[m]) < report*4/3 {
 			continue
 		}
-		// When most machines of a zone are silent at once, it is cut off, or we
-		// are: they will be back with their images, and new ones in their place
-		// would not be heard either.
+		// When most machines of a zone are silent at once, and they are not just a
+		// few, it is cut off, or we are: they will be back with their images, and
+		// new ones in their place would not be heard either.
 		zone := r.view.Binds[m].Zone
-		if now.Sub(r.heard[m]) < lost && (2*lostIn[zone] > up[zone] || !r.replaceable(m)) {
+		cut := lostIn[zone] >= cutFrom && 2*lostIn[zone] > up[zone] || 2*len(silent) > all
+		if now.Sub(r.heard[m]) < lost && (cut || !r.replaceable(m)) {
 			continue
 		}
 		r.close(m, "silent")
 	}
 }
 
+// cutFrom is the least number of silent machines by which a zone is taken for
+// cut off: fewer may well have died.
+const cutFrom = 5
+
 // replaceable tells whether all replicas of a silent machine have room on
 // others. If not, it is kept for as long as its lease may run: a machine that
 // is cut off goes on serving, a new one takes its time to boot, and the cloud
