--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -600,7 +600,7 @@
 	report := config.Secs(r.cfg.Params.Workers.ReportS)
 	silence := time.Duration(float64(report) * r.cfg.Ops.Silence)
 	var silent, quiet []string
-	all, up, lostIn := 0, map[string]int{}, map[string]int{} // by zone
+	all, up, lostIn := 0, map[string]int{}, map[string]int{} // by zone; lost: not heard lately
 	for m, b := range r.view.Binds {
 		age := now.Sub(time.UnixMilli(b.At))
 		switch {
@@ -615,13 +615,13 @@
 			since := now.Sub(r.heard[m])
 			if since > report*3/2 {
 				r.probe(m, b)
+				lostIn[b.Zone]++
 			}
 			if since > silence*2/3 && !b.Quiet {
 				quiet = append(quiet, m)
 			}
 			if since > silence && r.unanswered[m].After(r.heard[m]) {
 				silent = append(silent, m)
-				lostIn[b.Zone]++
 			}
 		}
 	}
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -114,9 +114,14 @@
 // every cancellation and the moment at which it must stop renewing leases.
 func (r *Reports) spare() time.Duration {
 	w := r.cfg.Params.Workers
-	return config.Secs(w.CancelS - w.LeaseS - 2*w.ReportS)
+	return config.Secs(w.CancelS - w.LeaseS - cancelMargin*w.ReportS)
 }
 
+// cancelMargin, in report intervals, is left for clocks that drift and for
+// workers that look at their leases now and then. A lease counts from when the
+// report was sent, so answers under way need none.
+const cancelMargin = 0.5
+
 // refuses tells whether this node must not, or had better not, answer a worker.
 // Beyond spare, renewing leases could keep a cancelled task beyond its time.
 // Workers that another controller can serve are sent to it long before that.
