Workers tell the writing controller when the mesh can't

Change: such a worker is sent to the controller that writes (421), once in two reports; streams are dialled again after at most two periods. Ruled out: processor time (4 to 7 % of the share).

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -138,7 +138,7 @@
 		if time.Since(begun) > 10*m.period {
 			n = 0
 		}
-		wait := m.period << min(n, 3)
+		wait := m.period << min(n, 1) // peers are few, and soon missed
 		select {
 		case <-time.After(wait + rand.N(wait)):
 		case <-m.ctx.Done():
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -58,6 +58,7 @@
 	answered     uint64    // the token of the first answer that the machine has not acknowledged
 	since        time.Time // when that was given
 	deaf         bool
+	sent         time.Time            // when it was sent to the controller that writes
 	began        map[string]time.Time // tasks: first seen running
 }
 
@@ -223,7 +224,15 @@
 	}
 	k, news := r.contact(rep)
 	proof := place.Reconcile(rec, rep, r.active)
-	r.pass(rep, k, &proof)
+	writer := r.pass(rep, k, &proof)
+	if writer != "" && now.Sub(k.sent) > config.Secs(2*r.cfg.Params.Workers.ReportS) {
+		k.sent = now
+		if news && !r.deaf(rep, k, now) {
+			r.heard[rep.Machine] = true
+		}
+		reply(Reply{ReportTo: writer})
+		return
+	}
 	if rep.Token > rec.Token {
 		slog.Warn("worker has seen a token beyond its record", "machine", rep.Machine, "token", rep.Token, "record", rec.Token)
 		reply(Reply{})
@@ -278,10 +287,13 @@
 }
 
 // pass gives what a report proves to the controller that writes it. This one's
-// placer keeps it too, for the case that the other is lost.
-func (r *Reports) pass(rep *wire.Report, k *contact, proof *place.Proof) {
+// placer keeps it too, for the case that the other is lost. If the other is out
+// of reach, pass returns its name: the worker had better tell it. That each
+// controller wrote its own part would be many small writes that hinder each
+// other.
+func (r *Reports) pass(rep *wire.Report, k *contact, proof *place.Proof) (unreached string) {
 	if !proof.Changes() {
-		return
+		return ""
 	}
 	n := place.Note{Report: rep}
 	for i := range proof.Gone {
@@ -295,13 +307,13 @@
 	}
 	wait := time.Duration(0)
 	if w := r.writer(); w != "" && w != r.cfg.Name {
-		// Not at once: two that write the same group only hinder each other.
-		wait = config.Secs(r.cfg.Params.Workers.ReportS / 4)
-		if r.to.Tell(w, n) {
-			wait = config.Secs(2 * r.cfg.Params.Workers.ReportS)
+		wait = config.Secs(2 * r.cfg.Params.Workers.ReportS)
+		if !r.to.Tell(w, n) {
+			unreached = w
 		}
 	}
 	r.to.Note(n, wait)
+	return unreached
 }
 
 // writer is the controller that writes what is bound: the one that the teams
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -107,6 +107,33 @@
 	return <-ch
 }
 
+// What a report proves is told to the controller that writes it; if that is out
+// of reach, the worker is sent there, once. Controllers that each wrote their
+// own part while they refused each other held each other up.
+func TestWorkerTellsTheWriterWhenTheMeshCant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		b := newBench(ctx, t, &ledger.Bind{Session: 1, Token: 9, Tasks: []ledger.Bound{{Job: "req-000001", Attempt: 1}}}, &ledger.Job{Tasks: 9})
+		b.ledger.Commit(ledger.Commit{Puts: []ledger.Put{
+			{Key: ledger.Key(ledger.KindHand, "red"), Rec: ledger.Hand{Member: "n1", Boot: 4}},
+			{Key: ledger.Key(ledger.KindMember, "n1"), Rec: ledger.Member{Boot: 4}},
+		}}, func(ledger.Outcome) {})
+		time.Sleep(time.Second)
+		ended := []wire.TaskReport{{Task: "req-000001/0", Attempt: 1, State: wire.TaskExited, Why: wire.WhyDone}}
+		if r := b.ask(wire.Report{Session: 1, Seq: 1, Token: 9, Tasks: ended}); r.Accept || r.ReportTo != "n1" {
+			t.Errorf("not sent to the controller that writes: %+v", r)
+		}
+		if r := b.ask(wire.Report{Session: 1, Seq: 2, Token: 9, Tasks: ended}); !r.Accept {
+			t.Error("sent away again at once")
+		}
+		time.Sleep(10 * time.Second)
+		if n := len(b.row().Tasks); n > 0 {
+			t.Error("nobody has written it")
+		}
+	})
+}
+
 // Without state, a node hands its workers over while there is time: to one that
 // has state, or, when it hears no other, anywhere else. In an outage for all,
 // they come back and keep their leases: a node that refused them then cost
