Commands to workers keep to a part of the sockets

Cause: the controller that places keeps a connection to every machine; on a cluster with more machines than sockets it would have had none left for users and reports. It may use three fifths of fd_limit, half of that idle.

--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -67,7 +67,7 @@
 	n := assemble(ctx, cfg, rand.Uint64()>>1, links{
 		state:   state.New(cfg.External.State, p.State.RPS, p.State.WriteRPS, p.State.TxnOps, report/2),
 		cloud:   cloud.New(cfg.External.Cloud, p.Cloud.RPS, ops.CloudShare, 2*report),
-		workers: worker.New(report),
+		workers: worker.New(report, workerSockets(p.Resources)),
 	})
 	go func() {
 		if err := n.mesh.Serve(peers, n.front.Handler()); err != nil {
@@ -81,6 +81,15 @@
 	return srv.Serve(users)
 }
 
+// workerSockets is the part of the sockets that may be used for commands to
+// workers; their reports, users and peers need the rest.
+func workerSockets(r config.Resources) int {
+	if r.FDLimit <= 0 {
+		return math.MaxInt16
+	}
+	return r.FDLimit * 3 / 5
+}
+
 // links are a controller's ways to the world.
 type links struct {
 	state interface {
--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -37,7 +37,7 @@
 // New makes a client that uses at most share of the rate.
 func New(addr string, rps, share float64, timeout time.Duration) *Client {
 	return &Client{
-		base: "http://" + addr, http: rpc.Client(timeout, 2), timeout: timeout,
+		base: "http://" + addr, http: rpc.Client(timeout, 2, 0), timeout: timeout,
 		rate: rate.NewLimiter(rate.Limit(rps*share), max(1, int(rps*share))),
 	}
 }
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -19,11 +19,12 @@
 
 const maxAnswer = 64 << 20 // watches have no limit of their own
 
-// Client makes an HTTP client that keeps perHost idle connections open.
-func Client(dial time.Duration, perHost int) *http.Client {
+// Client makes an HTTP client that keeps perHost idle connections open, and
+// total over all hosts; 0: no limit.
+func Client(dial time.Duration, perHost, total int) *http.Client {
 	d := &net.Dialer{Timeout: dial}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: d.DialContext, MaxIdleConnsPerHost: perHost, IdleConnTimeout: 2 * time.Minute,
+		DialContext: d.DialContext, MaxIdleConnsPerHost: perHost, MaxIdleConns: total, IdleConnTimeout: 2 * time.Minute,
 		DisableCompression: true,
 	}}
 }
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -52,7 +52,7 @@
 // the controllers together keep to them is the callers' concern.
 func New(addr string, rps, writeRPS float64, maxOps int, timeout time.Duration) *Client {
 	return &Client{
-		base: "http://" + addr, http: rpc.Client(timeout, 8), timeout: timeout,
+		base: "http://" + addr, http: rpc.Client(timeout, 8, 0), timeout: timeout,
 		reads:  rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
 		writes: rate.NewLimiter(rate.Limit(writeRPS), max(maxOps, int(writeRPS))),
 	}
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -16,12 +17,15 @@
 type Client struct {
 	http    *http.Client
 	timeout time.Duration
+	slots   chan struct{}
 }
 
 // New makes a client whose requests give up after timeout. A command that was
-// given up may still be executed later.
-func New(timeout time.Duration) *Client {
-	return &Client{http: rpc.Client(timeout/2, 1), timeout: timeout}
+// given up may still be executed later. It takes no more than the given number
+// of sockets, half of them idle.
+func New(timeout time.Duration, sockets int) *Client {
+	half := max(1, sockets/2)
+	return &Client{http: rpc.Client(timeout/2, 1, half), timeout: timeout, slots: make(chan struct{}, half)}
 }
 
 // Do sends commands. The worker's report comes back whether or not it
@@ -36,6 +40,14 @@
 }
 
 func (c *Client) report(ctx context.Context, method, url string, in any) (*wire.Report, error) {
+	select {
+	case c.slots <- struct{}{}:
+		defer func() { <-c.slots }()
+	case <-time.After(c.timeout):
+		return nil, errors.New("too many commands under way")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	status, b, err := rpc.Call(ctx, c.http, c.timeout, method, url, in)
 	if err != nil {
 		return nil, err
