A short pool is planned without once its intent is gone, and no want is missed

The pass after a refusal ran when any rental was recorded, while the intent of the pool that ran short still counted as rented machines; and what was wanted of a pool with a rental under way waited for the next pass. Ruled out on the same seeds: the order of waiting jobs, patience before preemption, the parts of the writes.

--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -68,11 +68,11 @@
 	term       uint64 // of the leadership that this state belongs to
 	hires      int
 	hiring     map[string]plan.Pool // by intent
+	missed     bool                 // more is wanted of a pool with a rental under way
 	deleting   map[string]bool
 	probing    map[string]bool
 	unanswered map[string]time.Time // when a probe failed last
 	deleted    map[string]time.Time
-	again      bool // a pool ran short: plan again without it
 	listing    bool
 }
 
@@ -380,7 +380,11 @@
 	}
 	slices.SortStableFunc(rents, func(a, b plan.Rent) int { return cmp.Compare(b.Load, a.Load) })
 	for _, want := range rents {
-		if !busy[want.Pool] && !time.Now().Before(r.refused[want.Pool]) {
+		switch {
+		case time.Now().Before(r.refused[want.Pool]):
+		case busy[want.Pool]:
+			r.missed = true
+		default:
 			r.intend(want)
 		}
 	}
@@ -449,14 +453,14 @@
 	}
 	slices.Sort(nests)
 	left := intent.Count - min(intent.Count, wire.MaxHire)
-	if none || len(nests) < min(intent.Count, wire.MaxHire) {
+	short := none || len(nests) < min(intent.Count, wire.MaxHire)
+	if short {
 		r.refused[pool] = time.Now().Add(config.Secs(r.cfg.Ops.PassS * refusalPasses))
-		r.again = true
 		r.giveUpBoots(pool)
 		slog.Info("cloud gave less", "hire", name, "batch", intent.Batch, "type", intent.Type, "zone", intent.Zone, "spot", intent.Spot, "asked", intent.Count, "got", len(nests))
 		left = 0
 	}
-	r.record(name, intent, left, nests)
+	r.record(name, intent, left, nests, short)
 }
 
 // giveUpBoots returns the machines of a pool whose boots drag on: while they
@@ -478,8 +482,9 @@
 const refusalPasses = 4
 
 // record writes the machines of a batch, in as many groups as their records
-// need. With the last, the intent goes on to the next batch, or goes.
-func (r *Renter) record(name string, intent *ledger.Rent, left int, nests []string) {
+// need. With the last, the intent goes on to the next batch, or goes. short
+// tells that the cloud had fewer than were asked for.
+func (r *Renter) record(name string, intent *ledger.Rent, left int, nests []string, short bool) {
 	rest := slices.DeleteFunc(nests, func(m string) bool {
 		_, returned := r.deleted[m]
 		return returned || !wire.ValidMachine(m) || r.view.Binds[m] != nil
@@ -504,14 +509,22 @@
 	}
 	r.commit(c, func(out ledger.Outcome) {
 		if out == ledger.Committed && len(rest) > 0 {
-			r.record(name, intent, left, rest)
+			r.record(name, intent, left, rest, short)
 			return
 		}
 		delete(r.hiring, name)
 		if out == ledger.Committed && left > 0 {
 			r.hire(name, &next)
 		}
-		r.replan()
+		// A pool that ran short is planned without at once: waiting for the next
+		// pass at every refusal would leave work without a machine for as many
+		// passes as there are pools. Not before its intent is gone, though: until
+		// then its machines count as rented. So it is with what was wanted of a
+		// pool while this rental was under way.
+		if short || r.missed {
+			r.missed = false
+			r.decide()
+		}
 	})
 }
 
@@ -519,16 +532,6 @@
 // fill when its machines are in use.
 const groupFill = 0.8
 
-// replan runs the pass again at once if a pool ran short: waiting for the next
-// pass at every refusal would leave work without a machine for as many passes
-// as there are pools. What is being rented counts as there.
-func (r *Renter) replan() {
-	if r.again {
-		r.again = false
-		r.decide()
-	}
-}
-
 // list reads the cloud's machines and deals with what is unexpected.
 func (r *Renter) list() {
 	if r.listing {
--- a/internal/rent/rent_test.go
+++ b/internal/rent/rent_test.go
@@ -14,7 +14,7 @@
 
 // lead runs a renter that leads, over a cloud that has limit machines of one
 // type, with a service that waits for one.
-func lead(t *testing.T, limit int, f func(l *ledger.Ledger, c *standin.Cloud, r *Renter)) {
+func lead(t *testing.T, limit int, f func(l *ledger.Ledger, c *standin.Cloud, r *Renter), more ...wire.MachineType) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
@@ -25,6 +25,7 @@
 		cfg.Params.Cloud = config.Cloud{RPS: 3, ListLagS: 10}
 		cfg.Params.Teams = []config.Team{{Name: "red"}}
 		types := []wire.MachineType{{Name: "s", CPUs: 4, MemoryGB: 16, Price: 1, BootS: 25, Zones: []string{"a"}}}
+		types = append(types, more...)
 		net := standin.NewNet(1, time.Millisecond)
 		conn := &standin.Conn{State: standin.NewState(), Net: net, Node: "n0", Timeout: time.Second}
 		chunk := ledger.ChunkTasks(8)
@@ -123,3 +124,30 @@
 		}
 	})
 }
+
+// When a pool runs short, the rest is rented elsewhere at once, and counted
+// anew: while the intent of the short pool stood, its machines counted as
+// rented, and waiting work got none until the next pass or the one after.
+func TestShortPoolIsPlannedWithoutAtOnce(t *testing.T) {
+	dear := wire.MachineType{Name: "l", CPUs: 16, MemoryGB: 64, Price: 5, BootS: 25, Zones: []string{"a"}}
+	lead(t, 2, func(l *ledger.Ledger, c *standin.Cloud, r *Renter) {
+		job := func(id string, tasks int, types ...string) ledger.Put {
+			return ledger.Put{Key: ledger.Key(ledger.KindJob, id), Rec: &ledger.Job{Tasks: tasks, At: time.Now().UnixMilli(), Spec: &wire.Job{
+				ID: id, Team: "red", Shape: wire.ShapeService, Rank: wire.RankProd, Tasks: tasks, CPUs: 4, MemoryGB: 1, Types: types,
+			}}}
+		}
+		l.Commit(ledger.Commit{Puts: []ledger.Put{job("req-000002", 5), job("req-000003", 1, "l")}}, func(ledger.Outcome) {})
+		time.Sleep(6 * time.Second) // one pass, and what follows from its refusals
+		ch := make(chan map[string]int)
+		r.Send(func() {
+			n := map[string]int{}
+			for _, b := range r.view.Binds {
+				n[b.Type]++
+			}
+			ch <- n
+		})
+		if n := <-ch; n["s"] != 2 || n["l"] != 2 {
+			t.Errorf("rented %v for 7 replicas, where there are two of each type", n)
+		}
+	}, dear)
+}
