--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -41,9 +41,6 @@
 	return fmt.Sprintf("%s%s/%s/%04d", Root, KindDone, job, chunk)
 }
 
-// DoneKeys is the prefix of the chunks of a job's done set.
-func DoneKeys(job string) string { return Root + KindDone + "/" + job + "/" }
-
 // Job is an accepted job. It is rewritten only when it ends.
 type Job struct {
 	Spec  *wire.Job `json:"spec,omitempty"` // nil once done
