One question whether a job is active; controllers that don't place build no queue

From reading the whole change again: the same check stood in the placer, the reports and three places of the view; controllers without teams worked out the queue's capacities at every change for nothing; a factor of 1, an unused field and a time kept only for one line are gone.

--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -168,7 +168,7 @@
 	d.Gone = nil
 	d.Marks = make(map[string][]int, len(d.Marks))
 	for job, ns := range v.Groups[name].Marks {
-		if j := v.Jobs[job]; j != nil && j.Active() {
+		if v.Active(job) {
 			d.Marks[job] = ns
 		}
 	}
--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -112,9 +112,15 @@
 	return nil
 }
 
+// Active tells whether a job is known and not over.
+func (v *View) Active(job string) bool {
+	j := v.Jobs[job]
+	return j != nil && j.Active()
+}
+
 // doneOf is the set to add a job's completed tasks to, or nil when it is over.
 func (v *View) doneOf(job string) *done {
-	if j := v.Jobs[job]; j == nil || !j.Active() {
+	if !v.Active(job) {
 		return nil
 	}
 	d := v.done[job]
@@ -242,8 +248,7 @@
 // Complete tells whether a job has all its tasks done, but is not called done
 // yet.
 func (v *View) Complete(job string) bool {
-	j := v.Jobs[job]
-	return j != nil && j.Active() && v.DoneCount(job) >= j.Tasks
+	return v.Active(job) && v.DoneCount(job) >= v.Jobs[job].Tasks
 }
 
 // Waits is how many tasks of a job are neither done nor bound.
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -419,7 +419,7 @@
 
 // proves tells whether a note still has anything to write.
 func (p *Placer) proves(rec *ledger.Bind, n *noted) bool {
-	proof := Reconcile(rec, n.Report, p.running)
+	proof := Reconcile(rec, n.Report, p.view.Active)
 	return proof.Changes()
 }
 
@@ -469,6 +469,9 @@
 // one task, or the largest would starve behind all that are smaller. More than
 // that would make the whole queue late again.
 func (p *Placer) queue(mine map[string]*ledger.Hand, now time.Time) []waiting {
+	if len(mine) == 0 {
+		return nil
+	}
 	var q []waiting
 	starved := 3 * p.cfg.Params.Workers.LeaseS
 	for id, j := range p.active {
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -33,8 +33,7 @@
 
 type draft struct {
 	*ledger.Draft
-	size    int // of the record, at most
-	touched bool
+	size int // of the record, at most
 }
 
 // Parts of the value limit: bound tasks may fill the first, the rest is for
@@ -113,7 +112,7 @@
 // end calls a job done once all its tasks are, as far as the commit has room.
 func (p *Placer) end(r *round, job string) {
 	j := p.view.Jobs[job]
-	if j == nil || !j.Active() || r.ends[job] > 0 || p.view.DoneCount(job)+r.marks[job] < j.Tasks {
+	if !p.view.Active(job) || r.ends[job] > 0 || p.view.DoneCount(job)+r.marks[job] < j.Tasks {
 		return
 	}
 	chunks := len(p.view.Chunks[job])
@@ -161,7 +160,7 @@
 		}
 		for m, n := range p.notes[g.group] {
 			rec := p.view.Binds[m]
-			proof := Reconcile(rec, n.Report, p.running)
+			proof := Reconcile(rec, n.Report, p.view.Active)
 			if !proof.Changes() {
 				delete(p.notes[g.group], m)
 				continue
@@ -174,11 +173,6 @@
 	}
 }
 
-func (p *Placer) running(job string) bool {
-	j := p.view.Jobs[job]
-	return j != nil && j.Active()
-}
-
 // open makes a group's next record part of the round; nil when it is full.
 func (p *Placer) open(r *round, group string) *draft {
 	if d := r.drafts[group]; d != nil {
@@ -225,7 +219,7 @@
 	}
 	for _, g := range proof.Gone {
 		g.RanS = n.RanS[g.Task()]
-		if g.Why == wire.WhyDone && p.running(g.Job) && !p.view.IsDone(g.Job, g.N) {
+		if g.Why == wire.WhyDone && p.view.Active(g.Job) && !p.view.IsDone(g.Job, g.N) {
 			d.Mark(g.Job, g.N)
 			r.marks[g.Job]++
 			d.size += 8
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -80,7 +80,7 @@
 func Start(ctx context.Context, cfg *config.Config, boot uint64, l *ledger.Ledger, c Cloud, p Prober, report func(*wire.Report)) *Renter {
 	r := &Renter{
 		Actor: actor.Start(ctx, "renter", 256), ctx: ctx, cfg: cfg, boot: boot, begun: time.Now(), ledger: l, cloud: c, prober: p, report: report,
-		pace:   rate.NewLimiter(rate.Limit(cfg.Params.State.WriteRPS*(1-cfg.Ops.StateShare)*rentPart), cfg.Params.State.TxnOps),
+		pace:   rate.NewLimiter(rate.Limit(cfg.Params.State.WriteRPS*(1-cfg.Ops.StateShare)), cfg.Params.State.TxnOps),
 		view:   ledger.NewRunningView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
 		active: map[string]*ledger.Job{}, runs: place.NewEstimates(), since: map[string]time.Time{}, heard: map[string]time.Time{}, marked: map[string]time.Time{}, errors: map[string]map[string]bool{},
 		refused: map[plan.Pool]time.Time{}, hiring: map[string]plan.Pool{}, deleting: map[string]bool{}, edits: map[string]edit{},
@@ -92,9 +92,6 @@
 	return r
 }
 
-// rentPart is the part of the writes left by placing that the leader may use.
-const rentPart = 1.0
-
 // SetTypes tells the renter of the machine types.
 func (r *Renter) SetTypes(types []wire.MachineType) { r.Send(func() { r.types = types }) }
 
@@ -452,8 +449,8 @@
 		return
 	}
 	slices.Sort(nests)
-	left := intent.Count - min(intent.Count, wire.MaxHire)
-	short := none || len(nests) < min(intent.Count, wire.MaxHire)
+	asked := min(intent.Count, wire.MaxHire)
+	left, short := intent.Count-asked, none || len(nests) < asked
 	if short {
 		r.refused[pool] = time.Now().Add(config.Secs(r.cfg.Ops.PassS * refusalPasses))
 		r.giveUpBoots(pool)
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -54,7 +54,6 @@
 // contact is what this node knows of a machine from hearing it.
 type contact struct {
 	session, seq uint64
-	at           time.Time
 	answered     uint64    // the token of the first answer that the machine has not acknowledged
 	since        time.Time // when that was given
 	deaf         bool
@@ -144,11 +143,6 @@
 	return false
 }
 
-func (r *Reports) active(job string) bool {
-	j := r.view.Jobs[job]
-	return j != nil && j.Active()
-}
-
 // contact is what is known of a machine; news is false for a copy or a report
 // older than one heard before: it says nothing of the machine as it is now.
 func (r *Reports) contact(rep *wire.Report) (k *contact, news bool) {
@@ -162,11 +156,11 @@
 	if rep.Session < k.session || rep.Session == k.session && rep.Seq <= k.seq {
 		return k, false
 	}
-	k.session, k.seq, k.at = rep.Session, rep.Seq, time.Now()
+	k.session, k.seq = rep.Session, rep.Seq
 	for i := range rep.Tasks {
 		t := &rep.Tasks[i]
 		if _, ok := k.began[t.Task]; !ok && t.State == wire.TaskRunning {
-			k.began[t.Task] = k.at
+			k.began[t.Task] = time.Now()
 		}
 	}
 	if rep.Token >= k.answered {
@@ -187,7 +181,7 @@
 		if news && !k.deaf {
 			r.heard[rep.Machine] = true
 		}
-		proof := place.Reconcile(rec, rep, r.active)
+		proof := place.Reconcile(rec, rep, r.view.Active)
 		r.pass(rep, k, &proof)
 	})
 }
@@ -223,7 +217,7 @@
 		}
 	}
 	k, news := r.contact(rep)
-	proof := place.Reconcile(rec, rep, r.active)
+	proof := place.Reconcile(rec, rep, r.view.Active)
 	writer := r.pass(rep, k, &proof)
 	if writer != "" && now.Sub(k.sent) > config.Secs(2*r.cfg.Params.Workers.ReportS) {
 		k.sent = now
