--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -48,6 +48,7 @@
 	heard  map[string]bool
 	seenBy []func(machines []string)
 	last   map[string]*contact
+	shed   map[string]bool // machines sent away since the view was fresh last
 }
 
 // contact is what this node knows of a machine from hearing it.
@@ -65,7 +66,7 @@
 	r := &Reports{
 		Actor: actor.Start(ctx, "reports", 512), cfg: cfg, boot: boot, ledger: l, to: to,
 		view:  ledger.NewRunningView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
-		heard: map[string]bool{}, last: map[string]*contact{},
+		heard: map[string]bool{}, last: map[string]*contact{}, shed: map[string]bool{},
 	}
 	l.Subscribe(func(d ledger.Delta) { r.Send(func() { r.apply(d) }) })
 	r.Every(config.Secs(cfg.Params.Workers.ReportS/3), r.beat)
@@ -77,7 +78,10 @@
 func (r *Reports) Heard(f func(machines []string)) { r.seenBy = append(r.seenBy, f) }
 
 func (r *Reports) apply(d ledger.Delta) {
-	r.fresh = d.Fresh
+	if d.Fresh.After(r.fresh) {
+		r.fresh = d.Fresh
+		clear(r.shed)
+	}
 	for _, c := range d.Changes {
 		for _, b := range r.view.Apply(c) {
 			if b.New == nil {
@@ -113,18 +117,25 @@
 	return config.Secs(w.CancelS - w.LeaseS - 2*w.ReportS)
 }
 
-// patience is how old the view may be for this node to answer workers. Beyond
-// spare, renewing leases could keep a cancelled task beyond its time. Workers
-// that another controller can serve are sent to it long before that; without
-// any other in reach there may be one all the same, and they look for it.
-func (r *Reports) patience() time.Duration {
+// refuses tells whether this node must not, or had better not, answer a worker.
+// Beyond spare, renewing leases could keep a cancelled task beyond its time.
+// Workers that another controller can serve are sent to it long before that.
+// A node that hears no other can't tell its own isolation from an outage for
+// all: it sends each worker away once, to look for a better one, and goes on
+// answering those that come back.
+func (r *Reports) refuses(machine string, age time.Duration) bool {
 	switch {
+	case age > r.spare():
+		return true
+	case age <= min(r.spare()/2, config.Secs(r.cfg.Params.Workers.ReportS)):
+		return false
 	case r.to.Elsewhere() != "":
-		return min(r.spare(), config.Secs(r.cfg.Params.Workers.ReportS))
-	case r.to.Alone():
-		return r.spare() / 2
+		return true
+	case r.to.Alone() && !r.shed[machine]:
+		r.shed[machine] = true
+		return true
 	}
-	return r.spare()
+	return false
 }
 
 func (r *Reports) active(job string) bool {
@@ -180,7 +191,7 @@
 
 func (r *Reports) answer(rep *wire.Report, reply func(Reply), again bool) {
 	now := time.Now()
-	if now.Sub(r.fresh) > r.patience() {
+	if r.refuses(rep.Machine, now.Sub(r.fresh)) {
 		reply(Reply{ReportTo: r.to.Elsewhere()})
 		return
 	}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -155,6 +155,15 @@
 	return h.ID
 }
 
+// Bounce restarts a machine at once.
+func (c *Cloud) Bounce(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h := c.hosts[id]; h != nil && h.worker != nil {
+		h.worker.Bounce()
+	}
+}
+
 // Notice gives a machine notice that it will be taken.
 func (c *Cloud) Notice(id string, s float64) {
 	c.mu.Lock()
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -28,7 +28,9 @@
 	completed map[int]bool
 	accepted  bool
 	final     string
-	asked     bool // to cancel
+	asked     bool      // to cancel
+	began     time.Time // when its first task started
+	answered  time.Time // when a question about it was last answered
 	cancelled time.Time
 }
 
@@ -105,6 +107,9 @@
 		j.OneZone && elsewhere > 0 || j.Spread && inZone >= (j.Tasks+1)/2 {
 		r.breach("wrong_place: %s on %s (%s %s spot=%v), %d in zone, %d elsewhere", task, h.ID, h.Type, h.Zone, h.Spot, inZone, elsewhere)
 	}
+	if t.began.IsZero() {
+		t.began = time.Now()
+	}
 	r.on[task] = h
 	used := 0.0
 	for o := range r.on {
@@ -176,7 +181,7 @@
 	case status != 200 && status != 201:
 		return
 	}
-	t.accepted = true
+	t.accepted, t.answered = true, time.Now()
 	final := state == wire.JobDone || state == wire.JobCancelled
 	if t.final != "" && state != t.final {
 		r.breach("went_back: %s was %s, is %s", id, t.final, state)
@@ -195,6 +200,55 @@
 	}
 }
 
+// Over begins the time after all troubles: from here on every job must be
+// answered for.
+func (r *Rules) Over() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.jobs {
+		t.answered = time.Now()
+	}
+}
+
+// Forgotten checks that no question went unanswered for too long.
+func (r *Rules) Forgotten() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, t := range r.jobs {
+		if t.accepted && t.final == "" && time.Since(t.answered) > 75*time.Second {
+			r.breach("forgotten: %s is not answered for", id)
+			t.answered = time.Now()
+		}
+	}
+}
+
+// Began is when a job's first task started; zero if none did.
+func (r *Rules) Began(id string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.jobs[id].began
+}
+
+// Missing lists accepted services, not cancelled, of which fewer than half of
+// the replicas run.
+func (r *Rules) Missing() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	on := map[string]int{}
+	for task := range r.on {
+		id, _, _ := wire.SplitTask(task)
+		on[id]++
+	}
+	var out []string
+	for id, t := range r.jobs {
+		if t.accepted && t.final == "" && !t.asked && t.job.Service() && 2*on[id] < t.job.Tasks {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Open lists jobs that were accepted and are not over.
 func (r *Rules) Open() []string {
 	r.mu.Lock()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -71,6 +71,16 @@
 	w.change()
 }
 
+// Bounce restarts the machine within no time: nothing on it survives.
+func (w *Worker) Bounce() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.forgetAll()
+	w.session++
+	w.token, w.renewed = 0, time.Now()
+	w.change()
+}
+
 func (w *Worker) forgetAll() {
 	for _, t := range w.tasks {
 		w.leave(t)
