--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -111,6 +111,7 @@
 	led := ledger.Start(ctx, to.state, ledger.Options{
 		ChunkTasks: chunk, Hold: 5 * report, Gap: readPause(cfg, watchShare), Refresh: readPause(cfg, refreshShare),
 		MaxAge: report / 2, Backoff: report / 30, WritePause: config.Secs(1 / p.State.WriteRPS),
+		MaxValue: int(p.State.ValueKB * 1024),
 	})
 	msh := mesh.Start(ctx, cfg, led.Fresh)
 	var placer *place.Placer
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -175,6 +175,9 @@
 	if p.State.TxnOps < minTxnOps {
 		return fmt.Errorf("params.state.txn_ops must be at least %d", minTxnOps)
 	}
+	if p.State.ValueKB < minValueKB {
+		return fmt.Errorf("params.state.value_kb must be at least %v: a machine's record would not fit", minValueKB)
+	}
 	if p.Workers.LeaseS <= p.Workers.ReportS {
 		return errors.New("params.workers.lease_s must be longer than report_s")
 	}
@@ -203,6 +206,9 @@
 // record, a task's done set, the job and one spare.
 const minTxnOps = 4
 
+// minValueKB holds a group of one machine with a few tasks, and a job.
+const minValueKB = 1.0
+
 // Team finds a team by name.
 func (p *Params) Team(name string) (Team, bool) {
 	for _, t := range p.Teams {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -70,6 +70,7 @@
 		{`lease_s = 34.0`, `lease_s = 2.0`, "lease_s"},
 		{`txn_ops = 8`, `txn_ops = 1`, "txn_ops"},
 		{`txn_ops = 8`, `txn_ops = "x"`, "txn_ops"},
+		{`value_kb = 8.0`, `value_kb = 0.25`, "value_kb"},
 		{`cpus = 8.0`, `cpus = -8.0`, "params.teams[0]"},
 		{`name = "red"`, ``, "params.teams[0].name"},
 		{`rps = 3.0`, `rps = 0.0`, "params.cloud.rps"},
--- a/internal/frontdoor/frontdoor.go
+++ b/internal/frontdoor/frontdoor.go
@@ -295,6 +295,9 @@
 	if !Fits(j, types) {
 		return http.StatusUnprocessableEntity, "a task fits no allowed machine type"
 	}
+	if raw, err := json.Marshal(&ledger.Job{Spec: j}); err != nil || len(raw)+jobMargin > int(f.cfg.Params.State.ValueKB*1024) {
+		return http.StatusUnprocessableEntity, "the description is too long for the state service"
+	}
 	n := 1.0
 	if j.Service() {
 		n = float64(j.Tasks)
@@ -305,6 +308,9 @@
 	return 0, ""
 }
 
+// jobMargin is what a job's record may grow by, in bytes, when it ends.
+const jobMargin = 128
+
 // Fits tells whether a task of the job fits a type it may use.
 func Fits(j *wire.Job, types []wire.MachineType) bool {
 	for i := range types {
--- a/internal/frontdoor/frontdoor_test.go
+++ b/internal/frontdoor/frontdoor_test.go
@@ -85,6 +85,9 @@
 		d.ask("POST", "/work", with(`"yard":null`, `"yard":"moon"`), 422, "")
 		d.ask("POST", "/work", with(`"builds":null`, `"builds":["x"]`), 422, "")
 		d.ask("POST", "/work", strings.Replace(with(`"shape":"array"`, `"shape":"service"`), `"legs":2`, `"legs":4`, 1), 422, "")
+		long := strings.Repeat(`"`+strings.Repeat("x", 120)+`",`, 63) + `"s"` // more than a record can hold
+		large := strings.NewReplacer(`"builds":null`, `"builds":[`+long+`]`, "train", strings.Repeat("x", 128), `"img"`, `"`+strings.Repeat("y", 128)+`"`).Replace(job)
+		d.ask("POST", "/work", large, 422, "")
 		d.ask("GET", "/work/req-000412", "", 404, "")
 		d.ask("POST", "/work", job, 201, wire.JobQueued)
 		// A repeat is known, whatever its body says.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -40,6 +40,7 @@
 	MaxAge     time.Duration // a view older than this is refreshed unasked
 	Backoff    time.Duration // first pause after a failure
 	WritePause time.Duration // of the state service's rate, for one write
+	MaxValue   int           // bytes of a value; more is never sent. 0: no limit
 }
 
 // Ledger is the actor that owns the watched view.
@@ -368,6 +369,11 @@
 			l.Send(func() { reply(Refused) })
 			return
 		}
+		if l.opt.MaxValue > 0 && len(raw) > l.opt.MaxValue {
+			slog.Error("record too large; nothing is written", "key", p.Key, "bytes", len(raw))
+			l.Send(func() { reply(Refused) })
+			return
+		}
 		txn.Writes = append(txn.Writes, wire.Write{Put: p.Key, Value: raw, Lease: p.Lease})
 	}
 	for _, k := range c.Delete {
