Edits of a group whose record is full wait instead of passing for written

Cause: the leader skips a group whose next record does not fit, but took all edits of the transaction for written once it stood. A closed machine of such a group was not returned until something else asked again. Found by reading; a test fails without the change.

--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -815,6 +816,9 @@
 	for _, d := range drafts {
 		if !d.Fit(int(r.cfg.Params.State.ValueKB * 1024)) {
 			slog.Error("record too large; nothing is written", "group", d.Name, "bytes", d.Size())
+			// Its edits are not written with the others: they wait for a smaller
+			// record. Taken for written, a closed machine was never returned.
+			maps.DeleteFunc(done, func(m string, _ edit) bool { return r.view.Binds[m].Group == d.Name })
 			continue
 		}
 		d.AddTo(&c)
--- a/internal/rent/rent_test.go
+++ b/internal/rent/rent_test.go
@@ -151,3 +151,41 @@
 		}
 	}, dear)
 }
+
+// An edit of a group whose record is full was taken for written when edits of
+// other groups were in the same transaction: a machine that was to be returned
+// stayed. It waits until the record is smaller.
+func TestEditOfFullRecordWaits(t *testing.T) {
+	lead(t, 0, func(l *ledger.Ledger, _ *standin.Cloud, r *Renter) {
+		bind := func(m string, tasks int) *ledger.Bind {
+			b := &ledger.Bind{Name: m, Addr: "x:1", Session: 1, Token: 1 << 33}
+			for n := range tasks {
+				b.Tasks = append(b.Tasks, ledger.Bound{Job: "req-000001", N: n, Attempt: 1})
+			}
+			return b
+		}
+		put := func(g string, b *ledger.Bind) ledger.Put {
+			return ledger.Put{Key: ledger.Key(ledger.KindBind, g), Rec: &ledger.Group{Name: g, Type: "s", Zone: "a", Binds: []*ledger.Bind{b}}}
+		}
+		limit := int(r.cfg.Params.State.ValueKB * 1024)
+		full := bind("i-8", 1)
+		for n := 2; (&ledger.Group{Type: "s", Zone: "a", Binds: []*ledger.Bind{full}}).Size() < limit; n++ {
+			full = bind("i-8", n)
+		}
+		l.Commit(ledger.Commit{Puts: []ledger.Put{put("full", full), put("small", bind("i-9", 0))}}, func(ledger.Outcome) {})
+		time.Sleep(time.Second)
+		drains := func(m string) (row, waits string) {
+			ch := make(chan string, 2)
+			r.Send(func() { ch <- r.view.Binds[m].Drain; ch <- r.edits[m].drain })
+			return <-ch, <-ch
+		}
+		r.Send(func() { r.edit("i-8", edit{drain: "faulty"}); r.edit("i-9", edit{drain: "faulty"}) })
+		time.Sleep(time.Second)
+		if row, waits := drains("i-9"); row != "faulty" || waits != "" {
+			t.Errorf("the small record: %q written, %q waits", row, waits)
+		}
+		if row, waits := drains("i-8"); row != "" || waits != "faulty" {
+			t.Errorf("the full record: %q written, %q waits", row, waits)
+		}
+	})
+}
