Groups written together merge; emptiest places first; transactions fit a body

Change: groups of one pool that a round writes anyhow become one record if they fit, at no extra write and only by who places for all teams; of the groups that wait, those go first whose places have stood empty longest, taken together, and none waits for more than a report; rounds and the leader's edits count bytes.

--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -196,6 +196,31 @@
 	}
 }
 
+// Settled tells whether all machines of the group have been up: from then on
+// nothing but the billing of idle ones asks when they were rented.
+func (d *Draft) Settled() bool {
+	return !slices.ContainsFunc(d.Binds, func(b *Bind) bool { return b.Session == 0 })
+}
+
+// Absorb takes over everything of another group of the same pool, whose record
+// is to go with the same commit. Every group costs writes of its own, and what
+// is rented in place of lost machines would stay in groups of one.
+func (d *Draft) Absorb(o *Draft) {
+	for _, b := range o.Binds {
+		n := *b
+		n.row = "" // leaves out what the other group's rows had in common
+		i, _ := d.index(n.Name)
+		d.Binds = slices.Insert(d.Binds, i, &n)
+	}
+	for job, ns := range o.Marks {
+		for _, n := range ns {
+			d.Mark(job, n)
+		}
+	}
+	d.Gone = append(d.Gone, o.Gone...)
+	d.At = min(d.At, o.At)
+}
+
 // Mark notes a completed task.
 func (d *Draft) Mark(job string, n int) {
 	ns := d.Marks[job]
@@ -222,14 +247,21 @@
 // Empty tells whether nothing is left that has to be kept.
 func (d *Draft) Empty() bool { return len(d.Binds) == 0 && len(d.Marks) == 0 }
 
-// AddTo makes the rewrite part of a commit, guarded on the group as it was.
-func (d *Draft) AddTo(c *Commit) {
+// Remove makes the removal of an absorbed group part of a commit.
+func (d *Draft) Remove(c *Commit) {
 	key := Key(KindBind, d.Name)
 	c.Guards = append(c.Guards, wire.Guard{Key: key, Version: d.Stamp})
+	c.Delete = append(c.Delete, key)
+}
+
+// AddTo makes the rewrite part of a commit, guarded on the group as it was.
+func (d *Draft) AddTo(c *Commit) {
 	if d.Empty() {
-		c.Delete = append(c.Delete, key)
+		d.Remove(c)
 		return
 	}
+	key := Key(KindBind, d.Name)
+	c.Guards = append(c.Guards, wire.Guard{Key: key, Version: d.Stamp})
 	c.Puts = append(c.Puts, Put{Key: key, Rec: &d.Group})
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -1,12 +1,14 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -242,6 +244,17 @@
 			chs = append(chs, c)
 		}
 	}
+	// A group that takes over another's machines comes before the other's end, or
+	// they would seem to be gone in between.
+	slices.SortStableFunc(chs, func(a, b Change) int {
+		if a.Stamp != b.Stamp || (a.Rec == nil) == (b.Rec == nil) {
+			return cmp.Compare(a.Stamp, b.Stamp)
+		}
+		if a.Rec != nil {
+			return -1
+		}
+		return 1
+	})
 	l.epoch = max(l.epoch, ev.Revision)
 	if begun.After(l.fresh) {
 		l.fresh = begun
@@ -379,9 +392,31 @@
 	for _, k := range c.Delete {
 		txn.Writes = append(txn.Writes, wire.Write{Delete: k})
 	}
+	if n := txnBytes(txn); n > wire.MaxBody {
+		slog.Error("transaction too large; nothing is written", "bytes", n, "writes", len(txn.Writes), "guards", len(txn.Guards))
+		l.Send(func() { reply(Refused) })
+		return
+	}
 	go l.commit(c, txn, reply)
 }
 
+// WriteBytes is what a write or a guard takes of a transaction at most, besides
+// its value.
+const WriteBytes = 120
+
+// txnBytes is at most the size of a transaction's body.
+func txnBytes(txn *wire.Txn) int {
+	n := WriteBytes
+	for i := range txn.Guards {
+		n += len(txn.Guards[i].Key) + 40
+	}
+	for i := range txn.Writes {
+		w := &txn.Writes[i]
+		n += len(w.Key()) + len(w.Value) + 60
+	}
+	return n
+}
+
 func (l *Ledger) commit(c Commit, txn *wire.Txn, reply func(Outcome)) {
 	deadline := time.Now().Add(c.Patience)
 	unknown := false
--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -82,7 +82,8 @@
 }
 
 // Apply takes one change over, and tells which machines it changes. Jobs must
-// come before what is bound or done of them.
+// come before what is bound or done of them, and of one revision what is there
+// before what is not: a group may take over the machines of another.
 func (v *View) Apply(c Change) []BindChange {
 	switch c.Kind {
 	case KindJob:
@@ -172,10 +173,13 @@
 	for len(was) > 0 || len(is) > 0 {
 		switch {
 		case len(is) == 0 || len(was) > 0 && was[0].Name < is[0].Name:
-			out = append(out, BindChange{was[0].Name, was[0], nil})
+			// A machine that another group has taken over is not gone.
+			if v.Binds[was[0].Name] == was[0] {
+				out = append(out, BindChange{was[0].Name, was[0], nil})
+			}
 			was = was[1:]
 		case len(was) == 0 || is[0].Name < was[0].Name:
-			out = append(out, BindChange{is[0].Name, nil, is[0]})
+			out = append(out, BindChange{is[0].Name, v.Binds[is[0].Name], is[0]})
 			is = is[1:]
 		default:
 			if was[0] != is[0] {
@@ -212,9 +216,7 @@
 		}
 	}
 	if c.New == nil {
-		if b := v.Binds[c.Machine]; b == c.Old {
-			delete(v.Binds, c.Machine)
-		}
+		delete(v.Binds, c.Machine)
 		return
 	}
 	v.Binds[c.Machine] = c.New
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -83,7 +83,8 @@
 
 type noted struct {
 	Note
-	due time.Time // when this process writes it, if no other has
+	due   time.Time // when this process writes it, if no other has
+	frees int       // tasks that it shows ended: places that stand empty until it is written
 }
 
 type image struct {
@@ -214,6 +215,12 @@
 		delete(p.shaky, c.Machine)
 		return
 	}
+	if c.Old != nil && c.Old.Group != c.New.Group {
+		if n := p.notes[c.Old.Group][c.Machine]; n != nil {
+			delete(p.notes[c.Old.Group], c.Machine)
+			p.file(c.New.Group, c.Machine, n)
+		}
+	}
 	for i := range c.New.Tasks {
 		t := &c.New.Tasks[i]
 		if c.Old != nil && c.Old.Find(t.Job, t.N) != nil {
@@ -386,13 +393,8 @@
 		if rec == nil {
 			return
 		}
-		group := p.notes[rec.Group]
-		if group == nil {
-			group = map[string]*noted{}
-			p.notes[rec.Group] = group
-		}
 		due := time.Now().Add(wait)
-		old := group[rec.Name]
+		old := p.notes[rec.Group][rec.Name]
 		if old != nil && !p.proves(rec, old) {
 			old = nil // it was written: what is new waits its own time
 		}
@@ -412,11 +414,30 @@
 				}
 			}
 		}
-		group[rec.Name] = &noted{n, due}
+		p.file(rec.Group, rec.Name, &noted{n, due, ended(n.Report)})
 		p.schedule()
 	})
 }
 
+// file puts a note with those of its group.
+func (p *Placer) file(group, machine string, n *noted) {
+	if p.notes[group] == nil {
+		p.notes[group] = map[string]*noted{}
+	}
+	p.notes[group][machine] = n
+}
+
+// ended counts the tasks that a report shows ended.
+func ended(rep *wire.Report) int {
+	n := 0
+	for i := range rep.Tasks {
+		if rep.Tasks[i].State == wire.TaskExited {
+			n++
+		}
+	}
+	return n
+}
+
 // proves tells whether a note still has anything to write.
 func (p *Placer) proves(rec *ledger.Bind, n *noted) bool {
 	proof := Reconcile(rec, n.Report, p.view.Active)
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -1,9 +1,11 @@
 package place
 
 import (
+	"cmp"
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"lynxledge/internal/ledger"
@@ -41,6 +43,7 @@
 const (
 	recordFill = 0.85
 	foldFill   = 0.7
+	mergeFill  = 0.6 // groups are merged up to here
 )
 
 func (p *Placer) valueBytes(part float64) int { return int(p.cfg.Params.State.ValueKB * 1024 * part) }
@@ -54,7 +57,26 @@
 }
 
 // full: no more groups can be written.
-func (r *round) full() bool { return r.ops() >= r.limit }
+func (r *round) full() bool { return r.ops() >= r.limit || r.bytes() >= bodyBytes }
+
+// bytes is at most the size of the commit. Records may have a size at which a
+// transaction reaches the limit of a body long before that of its writes.
+func (r *round) bytes() int {
+	n := 0
+	for _, d := range r.drafts {
+		n += d.size + ledger.WriteBytes
+	}
+	for _, f := range r.folds {
+		n += 4*len(f.Bits)/3 + ledger.WriteBytes
+	}
+	for range r.ends {
+		n += ledger.WriteBytes
+	}
+	return n + ledger.WriteBytes*(len(r.jobs)+len(r.hands))
+}
+
+// bodyBytes is the part of a body's limit that a commit may fill.
+const bodyBytes = wire.MaxBody * 9 / 10
 
 // guardable tells whether more jobs can be guarded: a transaction may have four
 // guards for each write, and each group and fold needs its own.
@@ -125,31 +147,47 @@
 	r.log = append(r.log, func() { slog.Debug("job done", "job", job, "age_s", int(time.Since(at).Seconds())) })
 }
 
-// takeNotes applies what reports prove, the longest waiting groups first. When
-// jobs wait for room, some writes are left for groups that have it.
+// takeNotes applies what reports prove, a few groups at a time. Those go first
+// whose empty places have stood empty longest, all taken together: a group of one
+// machine then takes a write for one task seldom, where writes are short, and one
+// in which many tasks end often. Nothing waits for more than a report. When jobs
+// wait for room, some writes are left for groups that have it.
 func (p *Placer) takeNotes(r *round, placing, queued bool) {
 	type due struct {
 		group string
-		at    time.Time
+		late  bool
+		empty float64 // seconds, of all places
 	}
 	var groups []due
 	for g, machines := range p.notes {
-		d := due{group: g}
+		d := due{group: g, empty: -1}
 		for m, n := range machines {
 			rec := p.view.Binds[m]
 			if rec == nil || rec.Group != g {
 				delete(machines, m)
-			} else if (placing || r.now.After(n.due)) && (d.at.IsZero() || n.due.Before(d.at)) {
-				d.at = n.due
+				continue
+			}
+			waits := r.now.Sub(n.due)
+			if placing || waits > 0 {
+				d.empty = max(d.empty, 0) + waits.Seconds()*float64(max(n.frees, 1))
+				d.late = d.late || waits > p.reportS(1)
 			}
 		}
 		if len(machines) == 0 {
 			delete(p.notes, g)
-		} else if !d.at.IsZero() {
+		} else if d.empty >= 0 {
 			groups = append(groups, d)
 		}
 	}
-	slices.SortFunc(groups, func(a, b due) int { return a.at.Compare(b.at) })
+	slices.SortFunc(groups, func(a, b due) int {
+		if a.late != b.late {
+			if a.late {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.empty, a.empty)
+	})
 	limit := r.limit
 	if queued {
 		limit -= r.limit / 4
@@ -183,6 +221,9 @@
 	}
 	d := &draft{Draft: p.view.Draft(group)}
 	d.size = d.Size()
+	if len(r.drafts) > 0 && r.bytes()+d.size > bodyBytes {
+		return nil
+	}
 	r.drafts[group] = d
 	for _, b := range d.Binds {
 		if n := p.nodes[b.Name]; n != nil {
@@ -438,7 +479,7 @@
 	if d == nil {
 		return false
 	}
-	if d.size+ledger.TaskBytes(w.id) > p.valueBytes(recordFill) {
+	if d.size+ledger.TaskBytes(w.id) > p.valueBytes(recordFill) || r.bytes() > bodyBytes {
 		node.Open = false // in this round
 		slog.Debug("record is full", "group", node.Group)
 		return false
@@ -484,6 +525,7 @@
 // commit makes the round's changes, if there are any.
 func (p *Placer) commit(r *round) {
 	c := ledger.Commit{Settle: true, Patience: p.reportS(0.5)}
+	p.merge(r, &c)
 	for team, stamp := range r.hands {
 		c.Guards = append(c.Guards, wire.Guard{Key: ledger.Key(ledger.KindHand, team), Version: stamp})
 	}
@@ -526,7 +568,7 @@
 	}
 	p.pace.ReserveN(r.now, c.Ops())
 	p.busy = true
-	slog.Debug("round", "writes", c.Ops(), "limit", r.limit, "groups", len(r.drafts), "folds", len(r.folds), "ends", len(r.ends),
+	slog.Debug("round", "writes", c.Ops(), "limit", r.limit, "groups", len(r.drafts), "of", len(p.view.Groups), "folds", len(r.folds), "ends", len(r.ends),
 		"placed", sum(r.placed), "gone", r.gone, "notes_left", len(p.notes))
 	p.ledger.Commit(c, func(out ledger.Outcome) {
 		p.Send(func() {
@@ -543,6 +585,52 @@
 	})
 }
 
+// merge makes one record of groups that are written together anyhow, belong to
+// one pool and fit: the fewer groups, the fewer writes, and the sooner a place
+// that is free is known to be. Only who places for all teams does: a later hand
+// record makes the guards fail, so that no other may miss what is bound to a
+// machine on its way from one record to the next.
+func (p *Placer) merge(r *round, c *ledger.Commit) {
+	hands := len(p.view.Hands)
+	if len(r.drafts) < 2 || hands == 0 || hands > p.cfg.Params.State.TxnOps || len(p.mine()) < hands {
+		return
+	}
+	names := slices.Collect(maps.Keys(r.drafts))
+	slices.SortFunc(names, func(a, b string) int { // the largest take over
+		if d := len(r.drafts[b].Binds) - len(r.drafts[a].Binds); d != 0 {
+			return d
+		}
+		return strings.Compare(a, b)
+	})
+	merged := false
+	for i, name := range names {
+		into := r.drafts[name]
+		if into == nil || !into.Settled() {
+			continue
+		}
+		size := into.Size()
+		for _, other := range names[i+1:] {
+			d := r.drafts[other]
+			if d == nil || d.Type != into.Type || d.Zone != into.Zone || d.Spot != into.Spot || !d.Settled() {
+				continue
+			}
+			if more := d.Size(); size+more <= p.valueBytes(mergeFill) {
+				into.Absorb(d.Draft)
+				d.Remove(c)
+				delete(r.drafts, other)
+				size = into.Size()
+				merged = true
+			}
+		}
+	}
+	if !merged {
+		return
+	}
+	for team, h := range p.view.Hands {
+		r.hands[team] = h.Stamp
+	}
+}
+
 func sum(m map[string]int) int {
 	n := 0
 	for _, v := range m {
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -745,6 +745,10 @@
 	}
 }
 
+// editBytes is what an edit adds to a machine's row at most, with the guard and
+// the key of a small group.
+const editBytes = 64
+
 // editPause, in passes, lets edits of one group come together.
 const editPause = 0.02
 
@@ -782,6 +786,7 @@
 	}
 	leads := r.leads()
 	drafts := map[string]*ledger.Draft{}
+	bytes := 0
 	done := map[string]edit{}
 	var c ledger.Commit
 	for m, e := range r.edits {
@@ -796,7 +801,12 @@
 				continue
 			}
 			d = r.view.Draft(b.Group)
-			drafts[b.Group] = d
+			if size := d.Size() + editBytes*len(d.Binds); len(drafts) == 0 || bytes+size < wire.MaxBody {
+				bytes += size
+				drafts[b.Group] = d
+			} else {
+				continue
+			}
 		}
 		done[m] = e
 		if e.gone {
