--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -623,6 +623,10 @@
 		r.owed = Owed(claims, p.team)
 	}
 	for _, n := range nodes {
+		if r.judged[n] {
+			continue
+		}
+		r.judged[n] = true
 		for i := range n.Tasks {
 			t := &n.Tasks[i]
 			if t.Job == nil {
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -31,6 +31,10 @@
 	gone   int                     // tasks that left
 	rows   map[string]*ledger.Bind // of the machines with starts
 	log    []func()
+	judged map[*Node]bool // brought up to date for choices of victims
+	near   []*Node        // with room, in groups that are written anyhow
+	nearOf int            // number of those groups
+	tries  float64        // part of the jobs that may look for others' places
 }
 
 type draft struct {
@@ -106,7 +110,7 @@
 	r := &round{
 		now: now, limit: limit, drafts: map[string]*draft{}, folds: map[string]*ledger.DoneChunk{}, ends: map[string]int{},
 		marks: map[string]int{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{}, tally: maps.Clone(p.tally),
-		starts: map[string][]wire.Order{}, stops: map[string][]wire.Order{}, rows: map[string]*ledger.Bind{},
+		starts: map[string][]wire.Order{}, stops: map[string][]wire.Order{}, rows: map[string]*ledger.Bind{}, judged: map[*Node]bool{},
 	}
 	p.endRipe(r, len(mine) > 0)
 	q := p.queue(mine, now)
@@ -114,12 +118,17 @@
 	for job := range r.marks {
 		p.end(r, job)
 	}
+	r.tries = maxTries / float64(max(maxTries, len(q)))
 	for _, w := range q {
 		p.placeJob(r, w)
 	}
 	p.commit(r)
 }
 
+// maxTries is how many of the waiting jobs look for places of other work in a
+// round, each drawn anew: looking costs far more than to find that none is free.
+const maxTries = 32
+
 // endRipe ends jobs whose last tasks are marked already.
 func (p *Placer) endRipe(r *round, placing bool) {
 	for job, since := range p.ripe {
@@ -322,13 +331,21 @@
 		return n != nil && n.HasRoom() && !r.now.Before(p.shaky[n.Name]) && Allowed(j, n.Type.Name, n.Zone, n.Spot) &&
 			n.Used.Plus(Of(j), 1).Fits(Capacity(n.Type))
 	}
-	for g, d := range r.drafts {
-		for _, b := range d.Binds {
-			if n := p.nodes[b.Name]; usable(n) && n.Group == g {
-				list = append(list, n)
+	if r.nearOf != len(r.drafts) {
+		r.near, r.nearOf = r.near[:0], len(r.drafts)
+		for g, d := range r.drafts {
+			for _, b := range d.Binds {
+				if n := p.nodes[b.Name]; n != nil && n.Group == g && n.HasRoom() {
+					r.near = append(r.near, n)
+				}
 			}
 		}
 	}
+	for _, n := range r.near {
+		if usable(n) {
+			list = append(list, n)
+		}
+	}
 	list = Sample(list, p.rng)
 	if !r.full() {
 		for _, n := range Sample(p.roomy, p.rng) {
@@ -387,6 +404,7 @@
 	within, _ := p.cfg.StartWithin(spec.Class)
 	age := r.now.Sub(time.UnixMilli(w.job.At)).Seconds()
 	patient := spec.Rank == wire.RankProd || age >= (within-p.cfg.Params.Workers.ReportS/3)/2 || w.hurried()
+	seeks := r.tries == 1 || p.rng.Float64() < r.tries
 	sample := avoid(p.candidates(r, spec))
 	var others []*Node
 	failing := p.failed[w.id] != nil && p.failed[w.id].count >= probeAfter
@@ -412,7 +430,7 @@
 			sample, since = avoid(p.candidates(r, spec)), 0
 			node = Pick(spec, zones, p.offers, sample)
 		}
-		preempts := patient && (spec.Rank >= wire.RankHigh || r.tally.WithinGuarantee(team, need))
+		preempts := seeks && patient && (spec.Rank >= wire.RankHigh || r.tally.WithinGuarantee(team, need))
 		var v *Victims
 		if preempts && (node == nil || spec.Rank >= wire.RankHigh && p.fetchesTooLong(spec, node)) {
 			if others == nil {
@@ -425,7 +443,7 @@
 			}
 			v = Preempt(spec, zones, p.offers, where, r.tally, p.team)
 		}
-		if node == nil && v == nil && spec.Spread && spec.Service() {
+		if seeks && node == nil && v == nil && spec.Spread && spec.Service() {
 			if others == nil {
 				others = avoid(p.others(r))
 			}
