A slow writer is left alone; no folds for what has just left

The log shows rounds of one group and seven folds, and guards that fail. Each of six other controllers wrote 0.9 changes a second, a task or two at a time, for a writer that was more than two reports behind; each such write made a round of eight fail. The size that folding goes by counted the notes on tasks that had just left. Ruled out: refusals of the cloud, images, the mesh. Change: others write only once nobody has written proofs for a report, or after a lease. Folding goes by what a record keeps.

--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -315,8 +315,8 @@
 	return rows
 }
 
-// Size is at most the record's size in bytes.
-func (g *Group) Size() int {
+// Kept is at most what the record will take once nothing has left lately.
+func (g *Group) Kept() int {
 	a := common(g.Binds)
 	n := groupBytes + len(g.Type) + len(g.Zone) + len(a.Name) + len(a.Addr) + len(a.Port)
 	for i, row := range g.rows(a) {
@@ -328,6 +328,12 @@
 	for job, ns := range g.Marks {
 		n += len(job) + 8 + len(encodeMarks(ns))
 	}
+	return n
+}
+
+// Size is at most the record's size in bytes.
+func (g *Group) Size() int {
+	n := g.Kept()
 	for i := range g.Gone {
 		n += len(encodeGone(&g.Gone[i])) + 3
 	}
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -63,8 +63,9 @@
 	starts map[string]*Node // machines that are coming up
 	tally  Tally
 
-	notes map[string]map[string]*noted // group, machine
-	ripe  map[string]time.Time         // complete jobs that are not called done yet, since
+	notes  map[string]map[string]*noted // group, machine
+	proved time.Time                    // when somebody last wrote what reports proved
+	ripe   map[string]time.Time         // complete jobs that are not called done yet, since
 
 	busy      bool
 	scheduled bool
@@ -160,6 +161,9 @@
 			}
 			if g, _ := c.Rec.(*ledger.Group); g != nil {
 				p.left(g, now)
+				if len(g.Gone) > 0 {
+					p.proved = now
+				}
 				for job := range g.Marks {
 					p.ripen(job, now)
 				}
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"lynxledge/internal/config"
 	"lynxledge/internal/ledger"
 	"lynxledge/wire"
 )
@@ -162,6 +163,9 @@
 // in which many tasks end often. Nothing waits for more than a report. When jobs
 // wait for room, some writes are left for groups that have it.
 func (p *Placer) takeNotes(r *round, placing, queued bool) {
+	// A writer that is slow is not dead: others that wrote for it made its guards
+	// fail, and it slower yet.
+	idle := r.now.Sub(p.proved) > p.reportS(1)
 	type due struct {
 		group string
 		late  bool
@@ -177,7 +181,7 @@
 				continue
 			}
 			waits := r.now.Sub(n.due)
-			if placing || waits > 0 {
+			if placing || waits > 0 && (idle || waits > config.Secs(p.cfg.Params.Workers.LeaseS)) {
 				d.empty = max(d.empty, 0) + waits.Seconds()*float64(max(n.frees, 1))
 				d.late = d.late || waits > p.reportS(1)
 			}
@@ -289,9 +293,12 @@
 	}
 }
 
-// fold moves a job's marks from a record that fills up into its done set.
+// fold moves a job's marks from a record that fills up into its done set. What
+// the record says of tasks that left doesn't count: it is gone with the next
+// write, and left out where there is no room. Counted, a group in which many
+// tasks ended at once took all writes of a round to fold marks.
 func (p *Placer) fold(r *round, d *draft) {
-	for d.Size() > p.valueBytes(foldFill) && r.ops() < r.limit && p.guardable(r) {
+	for d.Kept() > p.valueBytes(foldFill) && r.ops() < r.limit && p.guardable(r) {
 		most := ""
 		for job, ns := range d.Marks {
 			if r.ends[job] == 0 && len(ns) > len(d.Marks[most]) {
