--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -220,20 +220,24 @@
 }
 
 // Deadlines lists the times from its submission by which a job of a class is
-// to be done, the earliest first: its own deadline and the multiples of it
-// that aims speak of, or the finishing aims of its class, or the operators'
+// to be done, the earliest first: its own deadline and the multiples of it that
+// aims speak of, the finishing aims of its class and, for a job whose tasks run
+// for runS, the starting aims that a new machine can keep; or the operators'
 // default.
-func (c *Config) Deadlines(class string, own *float64) []float64 {
+func (c *Config) Deadlines(class string, own *float64, runS float64) []float64 {
 	var out []float64
 	for _, o := range c.Params.Objectives {
 		switch {
 		case o.Class != class:
-		case own == nil && o.Kind == "finished" && o.WithinS > 0:
+		case o.Kind == "finished" && o.WithinS > 0:
 			out = append(out, o.WithinS)
 		case own != nil && o.Kind == "deadline" && o.Times > 1:
 			out = append(out, *own*o.Times)
 		}
 	}
+	if s, ok := c.MayWait(class); ok {
+		out = append(out, s+runS)
+	}
 	switch {
 	case own != nil:
 		out = append(out, *own)
@@ -257,5 +261,16 @@
 	return s, own
 }
 
+// MayWait is how long the aims let tasks of a class wait for their start, where
+// they allow the time that a new machine takes.
+func (c *Config) MayWait(class string) (s float64, ok bool) {
+	for _, o := range c.Params.Objectives {
+		if o.Kind == "wait" && o.Class == class && o.WithinS > c.Ops.BootLagS && (!ok || o.WithinS < s) {
+			s, ok = o.WithinS, true
+		}
+	}
+	return s, ok
+}
+
 // Secs turns seconds into a Duration.
 func Secs(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -522,7 +522,7 @@
 			continue
 		}
 		w.claim = claimant{work: run * float64(left) / p.slots(j.Spec), run: run}
-		for _, d := range p.cfg.Deadlines(j.Spec.Class, j.Spec.DeadlineS) {
+		for _, d := range p.cfg.Deadlines(j.Spec.Class, j.Spec.DeadlineS, run) {
 			w.claim.due = append(w.claim.due, d-age)
 		}
 		q = append(q, w)
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -32,10 +32,10 @@
 	gone   int                     // tasks that left
 	rows   map[string]*ledger.Bind // of the machines with starts
 	log    []func()
-	judged map[*Node]bool // brought up to date for choices of victims
-	near   []*Node        // with room, in groups that are written anyhow
-	nearOf int            // number of those groups
-	tries  float64        // part of the jobs that may look for others' places
+	judged map[*Node]bool        // brought up to date for choices of victims
+	near   []*Node               // with room, in groups that are written anyhow
+	nearOf int                   // number of those groups
+	tries  map[wire.Rank]float64 // part of the jobs that may look for others' places
 }
 
 type draft struct {
@@ -119,16 +119,23 @@
 	for job := range r.marks {
 		p.end(r, job)
 	}
-	r.tries = maxTries / float64(max(maxTries, len(q)))
+	r.tries = map[wire.Rank]float64{}
+	for _, w := range q {
+		r.tries[w.job.Spec.Rank]++
+	}
+	for rank, n := range r.tries {
+		r.tries[rank] = min(1, maxTries/n)
+	}
 	for _, w := range q {
 		p.placeJob(r, w)
 	}
 	p.commit(r)
 }
 
-// maxTries is how many of the waiting jobs look for places of other work in a
-// round, each drawn anew: looking costs far more than to find that none is free.
-const maxTries = 32
+// maxTries is how many of the waiting jobs of a rank look for places of other
+// work in a round, drawn anew each time: looking costs far more than to find that
+// none is free.
+const maxTries = 64
 
 // endRipe ends jobs whose last tasks are marked already.
 func (p *Placer) endRipe(r *round, placing bool) {
@@ -411,7 +418,7 @@
 	within, _ := p.cfg.StartWithin(spec.Class)
 	age := r.now.Sub(time.UnixMilli(w.job.At)).Seconds()
 	patient := spec.Rank == wire.RankProd || age >= (within-p.cfg.Params.Workers.ReportS/3)/2 || w.hurried()
-	seeks := r.tries == 1 || p.rng.Float64() < r.tries
+	seeks := p.rng.Float64() < r.tries[spec.Rank]
 	sample := avoid(p.candidates(r, spec))
 	var others []*Node
 	failing := p.failed[w.id] != nil && p.failed[w.id].count >= probeAfter
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -24,6 +24,7 @@
 	Count     int
 	DeadlineS float64 // from now; may be past
 	RunS      float64 // expected running time of a task
+	Late      bool    // no deadline can be kept any more: it comes after the others of its rank
 	Overdue   bool    // any machine will do, whatever it costs
 	Roomy     bool    // only in the zones that offer the most types
 	Zones     place.Zones
@@ -142,6 +143,11 @@
 		switch {
 		case a.Job.Rank != b.Job.Rank:
 			return int(b.Job.Rank - a.Job.Rank)
+		case a.Late != b.Late:
+			if b.Late {
+				return -1
+			}
+			return 1
 		case a.DeadlineS < b.DeadlineS:
 			return -1
 		case a.DeadlineS > b.DeadlineS:
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -281,15 +281,16 @@
 		}
 		// The first deadline that a machine rented now can still keep.
 		age, due := float64(now.UnixMilli()-j.At)/1000, 0.0
-		deadlines := r.cfg.Deadlines(j.Spec.Class, j.Spec.DeadlineS)
+		run := r.runs.RunS(j.Spec)
+		deadlines := r.cfg.Deadlines(j.Spec.Class, j.Spec.DeadlineS, run)
 		for _, d := range deadlines {
-			if due = d - age; ops.BootLagS+r.runs.RunS(j.Spec) <= due {
+			if due = d - age; ops.BootLagS+run <= due {
 				break
 			}
 		}
 		in.Demands = append(in.Demands, plan.Demand{
-			Job: j.Spec, Count: r.limited(j, n), RunS: r.runs.RunS(j.Spec), Zones: place.ZonesOf(r.view, id),
-			DeadlineS: due, Overdue: age > overdueTimes*deadlines[len(deadlines)-1] && !r.served(j.Spec, pools),
+			Job: j.Spec, Count: r.limited(j, n), RunS: run, Zones: place.ZonesOf(r.view, id),
+			DeadlineS: due, Late: !j.Spec.Service() && ops.BootLagS+run > due, Overdue: age > overdueTimes*deadlines[len(deadlines)-1] && !r.served(j.Spec, pools),
 		})
 	}
 	for name, b := range r.view.Binds {
