--- /dev/null
+++ b/cmd/lynxledge/fleet_test.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lynxledge/internal/config"
+	"lynxledge/internal/standin"
+	"lynxledge/wire"
+)
+
+// fleet is a deployment of many machines, with its own settings.
+type fleet struct {
+	scale
+	tweak func(*config.Params)
+	// jobs of the opening, and their sizes
+	arrays, urgent, services int
+	tasks, replicas          int
+	cpus, mem                float64
+}
+
+// machines is how many there are to rent.
+func (f *fleet) machines() int {
+	n := 0
+	for _, t := range f.types {
+		n += f.pools[t.Name] * 2 * len(t.Zones)
+	}
+	return n
+}
+
+// Two shapes of a fleet, each with half as many machines again as the larger
+// deployments have: few controllers over a fast state service, and many over
+// one that takes 18 changes a second.
+var fleets = map[string]*fleet{
+	"three controllers, 1360 machines": {
+		scale: scale{
+			nodes: 3, pools: map[string]int{"s": 520, "m": 130, "l": 15},
+			types: []wire.MachineType{
+				{Name: "s", CPUs: 4, MemoryGB: 8, CacheGB: 35, FetchGBps: 1, Price: 0.15, SpotPrice: 0.06, BootS: 20, Zones: []string{"a"}},
+				{Name: "m", CPUs: 16, MemoryGB: 64, CacheGB: 25, FetchGBps: 1, Price: 0.67, SpotPrice: 0.28, BootS: 20, Zones: []string{"a"}},
+				{Name: "l", CPUs: 64, MemoryGB: 256, CacheGB: 40, FetchGBps: 1, Price: 2.59, SpotPrice: 1.01, BootS: 20, Zones: []string{"a", "b"}},
+			},
+		},
+		tweak: func(p *config.Params) {
+			p.Workers = config.Workers{ReportS: 5, LeaseS: 34, CancelS: 64}
+			p.State = config.State{RPS: 600, WriteRPS: 180, ValueKB: 8, TxnOps: 24}
+			p.Resources = config.Resources{CPU: 0.336, MemoryMB: 220, FDLimit: 2783}
+		},
+		arrays: 50, urgent: 50, services: 330, tasks: 50, replicas: 12, cpus: 4, mem: 4,
+	},
+	"seven controllers, 2250 machines": {
+		scale: scale{
+			nodes: 7, pools: map[string]int{"s": 452, "b": 111},
+			types: []wire.MachineType{
+				{Name: "s", CPUs: 4, MemoryGB: 32, CacheGB: 35, FetchGBps: 1, Price: 0.19, SpotPrice: 0.05, BootS: 20, Zones: []string{"a", "b"}},
+				{Name: "b", CPUs: 16, MemoryGB: 128, CacheGB: 40, FetchGBps: 1, Price: 0.78, SpotPrice: 0.2, BootS: 20, Zones: []string{"b", "c"}},
+			},
+		},
+		tweak: func(p *config.Params) {
+			p.Workers = config.Workers{ReportS: 8, LeaseS: 44, CancelS: 74}
+			p.State = config.State{RPS: 180, WriteRPS: 18, ValueKB: 4, TxnOps: 8}
+			p.Cloud = config.Cloud{RPS: 10, ListLagS: 10}
+			p.Resources = config.Resources{CPU: 0.252, MemoryMB: 322, FDLimit: 4233}
+		},
+		arrays: 30, urgent: 4, services: 260, tasks: 100, replicas: 12, cpus: 4, mem: 29,
+	},
+}
+
+// play runs a fleet through an opening that wants every machine, then through
+// the loss of the controller that places, an outage of the state service, and
+// the loss of many machines at once.
+func (f *fleet) play(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := newWorld(ctx, 1, f.scale, func(p *config.Params) {
+		f.tweak(p)
+		p.Teams = []config.Team{{Name: "red", CPUs: 2000}, {Name: "blue", CPUs: 2000}}
+	})
+	s := w.cfg.Params.State
+	w.state.SetLimits(standin.Limits{WriteRPS: s.WriteRPS, ValueKB: s.ValueKB, TxnOps: s.TxnOps, Keep: 500})
+	w.pass(5 * time.Second)
+	n := 0
+	job := func(class string, tasks int) *wire.Job {
+		n++
+		due := 120.0
+		j := &wire.Job{
+			ID: fmt.Sprintf("req-%06d", n), Class: class, Team: []string{"red", "blue"}[n%2], Shape: wire.ShapeArray, Rank: wire.RankNormal,
+			Tasks: tasks, CPUs: f.cpus, MemoryGB: f.mem, Image: fmt.Sprintf("img-%d", n%10), ImageGB: 1, Spot: n/2%2 == 0, EstimateS: 40, DeadlineS: &due,
+		}
+		switch class {
+		case "urgent":
+			j.Rank, j.CPUs, j.MemoryGB, j.EstimateS = wire.RankHigh, 1, 1.5, 10
+		case "live":
+			j.Shape, j.Rank, j.Spread, j.Spot, j.CPUs, j.MemoryGB = wire.ShapeService, wire.RankProd, true, false, 2, f.mem/8
+			j.EstimateS, j.DeadlineS = 0, nil
+		}
+		return j
+	}
+	var todo []*wire.Job // not accepted yet
+	submit := func(j *wire.Job) {
+		w.rules.Submitted(j, config.Secs(j.EstimateS*1.1))
+		todo = append(todo, j)
+	}
+	most := 0
+	step := func(d time.Duration) { // users come again with what was refused
+		for end := time.Now().Add(d); time.Now().Before(end); {
+			rest := todo[:0]
+			for _, j := range todo {
+				if s := w.ask(http.MethodPost, "/work", j.ID, j); s == http.StatusCreated || s == http.StatusOK {
+					w.known = append(w.known, j)
+				} else {
+					rest = append(rest, j)
+				}
+			}
+			todo = rest
+			w.pass(time.Second)
+			most = max(most, len(w.cloud.Up()))
+		}
+	}
+	for i := range f.services {
+		submit(job("live", 2+2*(i*7%f.replicas)))
+	}
+	for i := range f.arrays {
+		submit(job("batch", f.tasks/2+i*f.tasks/f.arrays))
+	}
+	for range 8 {
+		for i := range f.urgent / 4 {
+			submit(job("urgent", 10+i))
+		}
+		for i := range f.arrays / 4 {
+			submit(job("batch", f.tasks/2+i*f.tasks/f.arrays))
+		}
+		step(10 * time.Second)
+	}
+	for _, name := range w.nodes[:len(w.nodes)/2+1] {
+		w.crash(name)
+	}
+	step(500 * time.Millisecond)
+	for _, name := range w.nodes {
+		if w.up[name] == nil {
+			w.start(name)
+		}
+	}
+	step(10 * time.Second)
+	w.state.SetDown(true)
+	step(15 * time.Second)
+	w.state.SetDown(false)
+	for i := range f.machines() / 20 {
+		w.cloud.Fail(i*13, i%2 == 0)
+	}
+	step(30 * time.Second)
+	w.recover()
+	for _, b := range append(w.rules.Breaches(), w.state.Breaches()...) {
+		t.Error("rule broken: ", b)
+	}
+	for _, id := range append(w.rules.Open(), w.rules.Missing()...) {
+		t.Error("never finished: ", id)
+	}
+	for _, u := range w.rules.Unserved(4 * time.Minute) {
+		t.Error("not served within four minutes: ", u)
+	}
+	if len(todo) > 0 {
+		t.Errorf("%d jobs never accepted", len(todo))
+	}
+	if most < f.machines()*9/10 {
+		t.Errorf("%d machines of %d were ever up", most, f.machines())
+	}
+	cancel()
+	w.end()
+}
+
+// TestFleet plays fleets of many machines against the whole program: no rule is
+// broken, nothing beyond the state service's limits is sent, and every class,
+// team and class's largest jobs are served.
+func TestFleet(t *testing.T) {
+	for name, f := range fleets {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, f.play)
+		})
+	}
+}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,17 +1,22 @@
 package ledger
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
 
 	_ "lynxledge/internal/seeded"
+	"lynxledge/internal/standin"
 	"lynxledge/wire"
 )
 
@@ -200,3 +205,110 @@
 		t.Error("deletions are remembered for ever")
 	}
 }
+
+// A group may take over the machines of another, in one commit: whatever the
+// order in which a watch tells of it, every view ends with the same machines and
+// tasks, and none was gone in between.
+func TestGroupsMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := NewView(8)
+		v.Apply(Change{Key: Key(KindJob, "req-000001"), Kind: KindJob, Name: "req-000001", Stamp: 1, Rec: &Job{Tasks: 1000, Stamp: 1}})
+		raw := func(g *Group) json.RawMessage {
+			b, err := json.Marshal(g)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return b
+		}
+		put := func(g *Group, stamp uint64) Change {
+			rec, err := decodeGroup(g.Name, raw(g), stamp, v.Groups[g.Name])
+			if err != nil {
+				t.Fatal(err)
+			}
+			return Change{Key: Key(KindBind, g.Name), Kind: KindBind, Name: g.Name, Rec: rec, Stamp: stamp}
+		}
+		n := rapid.IntRange(2, 30).Draw(t, "machines")
+		groups := map[string]*Group{"a": {Name: "a", Type: "t", Zone: "z", At: 5}, "b": {Name: "b", Type: "t", Zone: "z", At: 7}}
+		for i := range n {
+			g := groups[rapid.SampledFrom([]string{"a", "b"}).Draw(t, "group")]
+			b := &Bind{Name: fmt.Sprintf("i-%06d", i), Addr: fmt.Sprintf("10.0.%d.1:9", i), Session: 1, Token: Token(1) + uint64(i)}
+			if rapid.Bool().Draw(t, "busy") {
+				b.Tasks = []Bound{{Job: "req-000001", N: i, Attempt: b.Token}}
+			}
+			g.Binds = append(g.Binds, b)
+		}
+		groups["a"].Marks = map[string][]int{"req-000001": {100, 102}}
+		groups["b"].Marks = map[string][]int{"req-000001": {101, 102}}
+		for name, g := range groups {
+			if len(g.Binds) > 0 {
+				v.Apply(put(g, 2))
+			} else {
+				delete(groups, name)
+			}
+		}
+		if len(groups) < 2 {
+			t.Skip()
+		}
+		want := maps.Clone(v.Binds)
+		into, other := v.Draft("a"), v.Draft("b")
+		into.Absorb(other)
+		var c Commit
+		into.AddTo(&c)
+		other.Remove(&c)
+		if c.Ops() != 2 || len(c.Guards) != 2 {
+			t.Fatalf("%+v", c)
+		}
+		for _, b := range v.Apply(put(&into.Group, 3)) {
+			if b.Old == nil || b.New == nil || b.Old.Token != b.New.Token || len(Left(b.Old, b.New)) > 0 {
+				t.Fatalf("%s changed: %+v %+v", b.Machine, b.Old, b.New)
+			}
+		}
+		if out := v.Apply(Change{Key: Key(KindBind, "b"), Kind: KindBind, Name: "b", Stamp: 3}); len(out) > 0 {
+			t.Fatalf("taken for gone: %+v", out)
+		}
+		bound := 0
+		for m, b := range v.Binds {
+			w := want[m]
+			if w == nil || b.Group != "a" || b.Addr != w.Addr || b.Token != w.Token || !slices.Equal(b.Tasks, w.Tasks) {
+				t.Fatalf("%s: %+v, was %+v", m, b, w)
+			}
+			for _, k := range b.Tasks {
+				if bound++; v.Bound[k.Job][k.N] != m {
+					t.Fatalf("%s is not known to be bound", k.Name())
+				}
+			}
+		}
+		if len(v.Binds) != n || bound != len(v.Bound["req-000001"]) || v.DoneCount("req-000001") != 3 {
+			t.Fatalf("%d machines, %d bound, %d done", len(v.Binds), len(v.Bound["req-000001"]), v.DoneCount("req-000001"))
+		}
+	})
+}
+
+// What is larger than a body may be is refused here and not sent: the service
+// would call it malformed, whatever it held.
+func TestLargeTransactionIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		store := standin.NewState()
+		conn := &standin.Conn{State: store, Net: standin.NewNet(1, time.Millisecond), Node: "n0", Timeout: time.Second}
+		l := Start(ctx, conn, Options{ChunkTasks: 8, Hold: time.Second, MaxAge: time.Second, Backoff: 100 * time.Millisecond, MaxValue: 8 << 10})
+		l.Run()
+		time.Sleep(time.Second)
+		commit := func(writes int) Outcome {
+			var c Commit
+			for i := range writes {
+				c.Puts = append(c.Puts, Put{Key: Key(KindDone, fmt.Sprintf("req-000001/%04d", i)), Rec: &DoneChunk{Bits: make([]byte, 6000)}})
+			}
+			out := make(chan Outcome, 1)
+			l.Commit(c, func(o Outcome) { out <- o })
+			return <-out
+		}
+		if out := commit(7); out != Committed {
+			t.Errorf("56 KB: %v", out)
+		}
+		if out := commit(9); out != Refused || strings.Contains(store.Dump(), "/0008") {
+			t.Errorf("72 KB: %v", out)
+		}
+	})
+}
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -119,13 +119,7 @@
 	for job := range r.marks {
 		p.end(r, job)
 	}
-	r.tries = map[wire.Rank]float64{}
-	for _, w := range q {
-		r.tries[w.job.Spec.Rank]++
-	}
-	for rank, n := range r.tries {
-		r.tries[rank] = min(1, maxTries/n)
-	}
+	r.tries = triesOf(q)
 	for _, w := range q {
 		p.placeJob(r, w)
 	}
@@ -137,6 +131,18 @@
 // none is free.
 const maxTries = 64
 
+// triesOf is the part of the waiting jobs of each rank that may look.
+func triesOf(q []waiting) map[wire.Rank]float64 {
+	out := map[wire.Rank]float64{}
+	for i := range q {
+		out[q[i].job.Spec.Rank]++
+	}
+	for rank, n := range out {
+		out[rank] = min(1, maxTries/n)
+	}
+	return out
+}
+
 // endRipe ends jobs whose last tasks are marked already.
 func (p *Placer) endRipe(r *round, placing bool) {
 	for job, since := range p.ripe {
--- /dev/null
+++ b/internal/place/round_test.go
@@ -0,0 +1,249 @@
+package place
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lynxledge/internal/config"
+	"lynxledge/internal/ledger"
+	"lynxledge/internal/standin"
+	"lynxledge/wire"
+)
+
+// placing runs a placer over a state service that holds groups of machines, each
+// with one task of one job on every machine.
+func placing(t *testing.T, groups map[string]int, f func(l *ledger.Ledger, p *Placer)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		cfg := &config.Config{Ops: config.DefaultOps()}
+		cfg.Params.Workers = config.Workers{ReportS: 8, LeaseS: 44, CancelS: 74}
+		cfg.Params.State = config.State{ValueKB: 4, TxnOps: 8, RPS: 180, WriteRPS: 18}
+		cfg.Params.Teams = []config.Team{{Name: "red"}}
+		conn := &standin.Conn{State: standin.NewState(), Net: standin.NewNet(1, time.Millisecond), Node: "n0", Timeout: time.Second}
+		l := ledger.Start(ctx, conn, ledger.Options{ChunkTasks: ledger.ChunkTasks(4), Hold: time.Second, MaxAge: time.Second, Backoff: 100 * time.Millisecond})
+		p := Start(ctx, cfg, 2, l, nil, func(*wire.Report) {})
+		p.SetTypes([]wire.MachineType{{Name: "s", CPUs: 4, MemoryGB: 16, Price: 1, Zones: []string{"a"}}})
+		l.Run()
+		time.Sleep(time.Second)
+		c := ledger.Commit{Puts: []ledger.Put{
+			{Key: ledger.Key(ledger.KindJob, "req-000001"), Rec: &ledger.Job{Tasks: 10000, At: time.Now().UnixMilli(), Spec: &wire.Job{
+				ID: "req-000001", Team: "red", Shape: wire.ShapeArray, Tasks: 10000, CPUs: 4, MemoryGB: 1, EstimateS: 50,
+			}}},
+			// Another process places.
+			{Key: ledger.Key(ledger.KindHand, "red"), Rec: ledger.Hand{Member: "n1", Boot: 1}},
+		}}
+		for name, n := range groups {
+			c.Puts = append(c.Puts, ledger.Put{Key: ledger.Key(ledger.KindBind, name), Rec: groupOf(name, n)})
+		}
+		l.Commit(c, func(ledger.Outcome) {})
+		time.Sleep(time.Second)
+		f(l, p)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
+func groupOf(name string, machines int) *ledger.Group {
+	g := &ledger.Group{Name: name, Type: "s", Zone: "a"}
+	for i := range machines {
+		g.Binds = append(g.Binds, &ledger.Bind{
+			Name: fmt.Sprintf("i-%s%03d", name, i), Addr: "x:1", Session: 1, Token: 9,
+			Tasks: []ledger.Bound{{Job: "req-000001", N: 100*int(name[0]-'a') + i, Attempt: 1}},
+		})
+	}
+	return g
+}
+
+// endedOn is a report that a machine's one task has completed.
+func endedOn(g *ledger.Group, i int) Note {
+	b := g.Binds[i]
+	return Note{Report: &wire.Report{Machine: b.Name, Addr: "x:1", Type: "s", Zone: "a", Session: 1, Seq: 1, Token: 9, Tasks: []wire.TaskReport{
+		{Task: b.Tasks[0].Name(), Attempt: 1, State: wire.TaskExited, Why: wire.WhyDone},
+	}}}
+}
+
+// in runs f in the placer's actor.
+func in(p *Placer, f func()) {
+	done := make(chan bool)
+	p.Send(func() { f(); done <- true })
+	<-done
+}
+
+// While somebody writes what reports prove, whoever does not place leaves it to
+// them, however long it takes: each write of its own would make the writer's
+// guards fail. Once nobody writes any more, it does.
+func TestOthersLeaveASlowWriterAlone(t *testing.T) {
+	placing(t, map[string]int{"a": 1, "b": 1}, func(l *ledger.Ledger, p *Placer) {
+		gone := func() (out bool) {
+			in(p, func() { out = len(p.view.Binds["i-a000"].Tasks) == 0 })
+			return out
+		}
+		p.Note(endedOn(groupOf("a", 1), 0), 16*time.Second)
+		other := groupOf("b", 1)
+		other.Gone = []ledger.Gone{{Machine: "i-b000", Job: "req-000001", N: 7, Why: wire.WhyDone}}
+		for range 12 { // 36 s
+			l.Commit(ledger.Commit{Puts: []ledger.Put{{Key: ledger.Key(ledger.KindBind, "b"), Rec: other}}}, func(ledger.Outcome) {})
+			time.Sleep(3 * time.Second)
+		}
+		if gone() {
+			t.Error("written while the writer was at work")
+		}
+		time.Sleep(12 * time.Second)
+		if !gone() {
+			t.Error("not written though nobody writes")
+		}
+	})
+}
+
+// A round with few writes takes the groups whose places have stood empty longest,
+// all taken together; but none waits for more than a report.
+func TestEmptiestGroupsFirst(t *testing.T) {
+	placing(t, map[string]int{"a": 1, "b": 30}, func(_ *ledger.Ledger, p *Placer) {
+		pick := func(aWaits, bWaits time.Duration) (first []string) {
+			in(p, func() {
+				now := time.Now()
+				p.file("a", "i-a000", &noted{endedOn(groupOf("a", 1), 0), now.Add(-aWaits), 1})
+				for i := range 30 {
+					n := endedOn(groupOf("b", 30), i)
+					p.file("b", n.Report.Machine, &noted{n, now.Add(-bWaits), 1})
+				}
+				r := &round{
+					now: now, limit: 1, drafts: map[string]*draft{}, folds: map[string]*ledger.DoneChunk{}, ends: map[string]int{}, marks: map[string]int{},
+					jobs: map[string]uint64{}, hands: map[string]uint64{}, tally: Tally{},
+				}
+				p.takeNotes(r, true, false)
+				for g := range r.drafts {
+					first = append(first, g)
+				}
+				for m := range p.nodes {
+					p.undo([]string{m})
+				}
+			})
+			return first
+		}
+		if got := pick(5*time.Second, time.Second); !slices.Equal(got, []string{"b"}) {
+			t.Errorf("30 places empty for a second, one for five: %v first", got)
+		}
+		if got := pick(9*time.Second, time.Second); !slices.Equal(got, []string{"a"}) {
+			t.Errorf("one place empty for more than a report: %v first", got)
+		}
+	})
+}
+
+// What a record says of tasks that have just left is gone with the next write:
+// no marks are folded to make room for it.
+func TestFoldingIgnoresWhatLeft(t *testing.T) {
+	placing(t, map[string]int{"a": 30}, func(_ *ledger.Ledger, p *Placer) {
+		fold := func(fill func(d *draft)) (n int) {
+			in(p, func() {
+				r := &round{limit: 8, drafts: map[string]*draft{}, folds: map[string]*ledger.DoneChunk{}, ends: map[string]int{}, jobs: map[string]uint64{}}
+				d := p.open(r, "a")
+				fill(d)
+				if d.Size() <= p.valueBytes(foldFill) {
+					t.Error("the record has room")
+				}
+				p.fold(r, d)
+				n = len(r.folds)
+			})
+			return n
+		}
+		if n := fold(func(d *draft) {
+			d.Mark("req-000001", 1)
+			for i := range 80 {
+				d.Gone = append(d.Gone, ledger.Gone{Machine: "i-a000", Job: "req-000001", N: 1000 + i, Why: wire.WhyDone, RanS: 20.5})
+			}
+		}); n != 0 {
+			t.Errorf("%d folds for tasks that left", n)
+		}
+		if n := fold(func(d *draft) {
+			for i := range 700 {
+				d.Mark("req-000001", 2*i)
+			}
+		}); n != 1 {
+			t.Errorf("%d folds for 700 marks", n)
+		}
+	})
+}
+
+// crowd adds groups of 50 machines, and services that fit on none.
+func crowd(l *ledger.Ledger, machines, jobs int) {
+	var puts []ledger.Put
+	for i := range machines / 50 {
+		name := fmt.Sprintf("%c%d", 'a'+i%20, i)
+		puts = append(puts, ledger.Put{Key: ledger.Key(ledger.KindBind, name), Rec: groupOf(name, 50)})
+	}
+	for i := range jobs {
+		id := fmt.Sprintf("req-1%05d", i)
+		puts = append(puts, ledger.Put{Key: ledger.Key(ledger.KindJob, id), Rec: &ledger.Job{Tasks: 4, At: time.Now().UnixMilli(), Spec: &wire.Job{
+			ID: id, Team: "red", Shape: wire.ShapeService, Rank: wire.RankProd, Tasks: 4, CPUs: 5, MemoryGB: 1,
+		}}})
+	}
+	for some := range slices.Chunk(puts, 50) {
+		l.Commit(ledger.Commit{Puts: some}, func(ledger.Outcome) {})
+	}
+	time.Sleep(time.Second)
+}
+
+// Places of other work are looked for on a sample of the machines, however many
+// there are, and by so many of the waiting jobs, however many wait.
+func TestLookingIsBounded(t *testing.T) {
+	for _, size := range []struct{ machines, jobs int }{{100, 10}, {2000, 500}} {
+		placing(t, map[string]int{}, func(l *ledger.Ledger, p *Placer) {
+			crowd(l, size.machines, size.jobs)
+			in(p, func() {
+				p.view.Hands["red"] = &ledger.Hand{Member: "n0", Boot: p.boot}
+				q := p.queue(p.mine(), time.Now())
+				share := triesOf(q)[wire.RankProd]
+				if want := min(1, float64(maxTries)/float64(size.jobs)); share != want {
+					t.Errorf("%v of %d jobs look, not %v", share, size.jobs, want)
+				}
+				r := &round{
+					now: time.Now(), limit: 8, drafts: map[string]*draft{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{},
+					tally: Tally{}, judged: map[*Node]bool{}, tries: map[wire.Rank]float64{wire.RankProd: 1},
+				}
+				p.placeJob(r, q[0])
+				if n := len(r.judged); n != maxSample {
+					t.Errorf("%d of %d machines looked at for one job", n, size.machines)
+				}
+				r.tries[wire.RankProd] = 0
+				r.judged = map[*Node]bool{}
+				if p.placeJob(r, q[0]); len(r.judged) > 0 {
+					t.Error("looked out of turn")
+				}
+			})
+		})
+	}
+}
+
+// What one changed machine costs does not grow with the fleet.
+func TestChangeCostsTheSameInAnyFleet(t *testing.T) {
+	allocs := func(machines int) (n float64) {
+		placing(t, map[string]int{"z": 50}, func(l *ledger.Ledger, p *Placer) {
+			crowd(l, machines, 10)
+			in(p, func() {
+				g := *p.view.Groups["z"]
+				other := *g.Binds[7]
+				other.Tasks = nil
+				at := [2]*ledger.Bind{g.Binds[7], &other}
+				turn := 0
+				n = testing.AllocsPerRun(20, func() {
+					turn++
+					next := g
+					next.Binds = slices.Clone(g.Binds)
+					next.Binds[7], next.Stamp = at[turn%2], g.Stamp+uint64(turn)
+					p.apply(ledger.Delta{Epoch: next.Stamp, Fresh: time.Now(), Changes: []ledger.Change{
+						{Key: ledger.Key(ledger.KindBind, "z"), Kind: ledger.KindBind, Name: "z", Rec: &next, Stamp: next.Stamp},
+					}})
+				})
+			})
+		})
+		return n
+	}
+	if few, many := allocs(100), allocs(2000); many > few+2 {
+		t.Errorf("%v allocations among 150 machines, %v among 2050", few, many)
+	}
+}
