Late copies of a rental, and pages read during a merge, lose no machine

Cause: found on a second read of the merge. A rental's commit is guarded on the leader and on its groups not being there; once a group had been merged away, a late copy of that commit made it again, with its machine as one with nothing bound to it: its task could have been placed once more. And a view loaded page by page missed machines that moved meanwhile to a group read already, until the next watch. Change: a rental's commits are guarded on the intent and rewrite it; adopted machines' groups keep their keys; a load ends with a read of what has changed since its first page, and is published as of one revision. What records say of tasks that left counts in a round's bytes. Both tests fail without the change.

--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -196,6 +196,16 @@
 	}
 }
 
+// AdoptedName names the group of a machine that was found, not rented. A late
+// copy of the commit that made it must find it still there: only what is rented
+// is guarded on an intent besides, so an adopted machine's group is not absorbed.
+func AdoptedName(machine string) string { return adoptedPrefix + machine }
+
+const adoptedPrefix = "a."
+
+// Lasting tells whether the group must keep its key while it has machines.
+func (d *Draft) Lasting() bool { return strings.HasPrefix(d.Name, adoptedPrefix) }
+
 // Settled tells whether all machines of the group have been up: from then on
 // nothing but the billing of idle ones asks when they were rented.
 func (d *Draft) Settled() bool {
@@ -238,7 +248,7 @@
 func (d *Draft) Fit(limit int) bool {
 	size := d.Size()
 	for size > limit && len(d.Gone) > 0 {
-		size -= len(encodeGone(&d.Gone[len(d.Gone)-1])) + 3
+		size -= GoneBytes(&d.Gone[len(d.Gone)-1])
 		d.Gone = d.Gone[:len(d.Gone)-1]
 	}
 	return size <= limit
@@ -335,7 +345,7 @@
 func (g *Group) Size() int {
 	n := g.Kept()
 	for i := range g.Gone {
-		n += len(encodeGone(&g.Gone[i])) + 3
+		n += GoneBytes(&g.Gone[i])
 	}
 	return n
 }
@@ -559,6 +569,9 @@
 	return ns, nil
 }
 
+// GoneBytes is what a task that left adds to a record.
+func GoneBytes(g *Gone) int { return len(encodeGone(g)) + 3 }
+
 func encodeGone(g *Gone) string {
 	why := strings.ReplaceAll(g.Why, " ", "-") // a worker's word, perhaps an unknown one
 	s := g.Machine + " " + g.Job[len(jobPrefix):] + "/" + strconv.Itoa(g.N) + " " + why
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -148,11 +148,12 @@
 	}
 }
 
-// load lists every key. Changes made meanwhile are replayed by the watch,
-// which begins at the first page's revision.
+// load lists every key, page by page, and brings the pages to one revision: what
+// moved from a key of a page to come to one of a page that was read, as machines
+// do from group to group, would else be missing for a moment.
 func (l *Ledger) load() error {
 	begun := time.Now()
-	var items []wire.Item
+	items := map[string]wire.Item{}
 	var first uint64
 	after := ""
 	for {
@@ -163,12 +164,26 @@
 		if first == 0 {
 			first = page.Revision
 		}
-		items = append(items, page.Items...)
+		for _, it := range page.Items {
+			items[it.Key] = it
+		}
 		if !page.More || len(page.Items) == 0 {
 			break
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
+	since, err := l.store.Follow(l.ctx, Root, first, 0)
+	if err != nil {
+		return err
+	}
+	for _, e := range since.Events {
+		if e.Put != "" && items[e.Put].Version <= e.Version {
+			items[e.Put] = wire.Item{Key: e.Put, Value: e.Value, Version: e.Version}
+		} else if e.Put == "" && items[e.Delete].Version <= e.Version {
+			delete(items, e.Delete)
+		}
+	}
+	epoch := max(first, since.Revision)
 	for _, it := range items {
 		if strings.HasPrefix(it.Key, Key(KindBind, "")) {
 			if _, err := decodeGroup("", it.Value, 0, nil); errors.Is(err, ErrLayout) {
@@ -177,10 +192,8 @@
 		}
 	}
 	l.Send(func() {
-		seen := make(map[string]bool, len(items))
 		var jobs, chs []Change
 		for _, it := range items {
-			seen[it.Key] = true
 			if c, ok := l.change(it.Key, it.Value, it.Version); ok && c.Kind == KindJob {
 				jobs = append(jobs, c)
 			} else if ok {
@@ -189,15 +202,15 @@
 		}
 		chs = append(jobs, chs...) // what is bound or done needs its job
 		for _, c := range l.view.changes() {
-			if !seen[c.Key] && c.Stamp <= first {
-				chs = append(chs, Change{Key: c.Key, Kind: c.Kind, Name: c.Name, Stamp: first})
+			if _, there := items[c.Key]; !there && c.Stamp <= epoch {
+				chs = append(chs, Change{Key: c.Key, Kind: c.Kind, Name: c.Name, Stamp: epoch})
 			}
 		}
 		l.loaded = true
-		l.epoch = max(l.epoch, first)
+		l.epoch = max(l.epoch, epoch)
 		l.fresh = begun
 		l.publish(chs)
-		slog.Info("state loaded", "keys", len(items), "epoch", first)
+		slog.Info("state loaded", "keys", len(items), "epoch", epoch)
 	})
 	return nil
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -312,3 +312,57 @@
 		}
 	})
 }
+
+// paged lists one key at a time, and lets something happen after the first page.
+type paged struct {
+	*standin.Conn
+	between func()
+}
+
+func (s *paged) List(ctx context.Context, prefix, after string, _ int) (*wire.Items, error) {
+	page, err := s.Conn.List(ctx, prefix, after, 1)
+	if s.between != nil {
+		s.between()
+		s.between = nil
+	}
+	return page, err
+}
+
+// A machine that goes to another group while the pages are read is never missing:
+// the group it came to was read without it, the one it left is gone.
+func TestLoadMissesNothingThatMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		conn := &standin.Conn{State: standin.NewState(), Net: standin.NewNet(1, time.Millisecond), Node: "n0", Timeout: time.Second}
+		write := func(key string, machines ...string) wire.Write {
+			raw, err := json.Marshal(NewGroup("", "t", "z", false, 5, machines, 9))
+			if err != nil {
+				t.Fatal(err)
+			}
+			return wire.Write{Put: Key(KindBind, key), Value: raw}
+		}
+		commit := func(w ...wire.Write) {
+			if _, err := conn.Commit(ctx, &wire.Txn{Writes: w}); err != nil {
+				t.Error(err)
+			}
+		}
+		commit(write("a", "i-1"), write("b", "i-2"), write("c", "i-3"))
+		store := &paged{conn, func() { commit(write("a", "i-1", "i-2"), wire.Write{Delete: Key(KindBind, "b")}) }}
+		l := Start(ctx, store, Options{ChunkTasks: 8, Hold: time.Second, MaxAge: time.Second, Backoff: 100 * time.Millisecond})
+		v := NewView(8)
+		l.Subscribe(func(d Delta) {
+			for _, c := range d.Changes {
+				v.Apply(c)
+			}
+			if len(v.Binds) != 3 || v.Binds["i-2"].Group != "a" {
+				t.Errorf("%d machines at revision %d", len(v.Binds), d.Epoch)
+			}
+		})
+		l.Run()
+		time.Sleep(5 * time.Second)
+		if len(v.Binds) != 3 {
+			t.Errorf("%d machines in the end", len(v.Binds))
+		}
+	})
+}
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -30,6 +30,7 @@
 	starts map[string][]wire.Order
 	stops  map[string][]wire.Order
 	gone   int                     // tasks that left
+	said   int                     // bytes of what the records say of them
 	rows   map[string]*ledger.Bind // of the machines with starts
 	log    []func()
 	judged map[*Node]bool        // brought up to date for choices of victims
@@ -67,7 +68,7 @@
 // bytes is at most the size of the commit. Records may have a size at which a
 // transaction reaches the limit of a body long before that of its writes.
 func (r *round) bytes() int {
-	n := 0
+	n := r.said
 	for _, d := range r.drafts {
 		n += d.size + ledger.WriteBytes
 	}
@@ -219,7 +220,7 @@
 		limit -= r.limit / 4
 	}
 	for _, g := range groups {
-		if r.ops() >= limit {
+		if r.ops() >= limit || r.full() {
 			return
 		}
 		for m, n := range p.notes[g.group] {
@@ -294,6 +295,7 @@
 		next.Tasks = slices.DeleteFunc(next.Tasks, func(b ledger.Bound) bool { return b.Job == g.Job && b.N == g.N })
 		d.Gone = append(d.Gone, g)
 		r.gone++
+		r.said += ledger.GoneBytes(&g)
 		if j := p.view.Jobs[g.Job]; j != nil && j.Spec != nil {
 			r.tally[j.Spec.Team] = r.tally[j.Spec.Team].Plus(Of(j.Spec), -1)
 		}
@@ -649,7 +651,7 @@
 		size := into.Size()
 		for _, other := range names[i+1:] {
 			d := r.drafts[other]
-			if d == nil || d.Type != into.Type || d.Zone != into.Zone || d.Spot != into.Spot || !d.Settled() {
+			if d == nil || d.Type != into.Type || d.Zone != into.Zone || d.Spot != into.Spot || d.Lasting() || !d.Settled() {
 				continue
 			}
 			if more := d.Size(); size+more <= p.valueBytes(mergeFill) {
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -481,29 +481,40 @@
 const refusalPasses = 4
 
 // record writes the machines of a batch, in as many groups as their records
-// need. With the last, the intent goes on to the next batch, or goes. short
-// tells that the cloud had fewer than were asked for.
+// need. With the last, the intent goes on to the next batch, or goes. Every such
+// commit is guarded on the intent and rewrites it: a group may have been merged
+// into another since, and a late copy of the commit that made it would bring its
+// machines back with nothing bound to them. short tells that the cloud had fewer
+// than were asked for.
 func (r *Renter) record(name string, intent *ledger.Rent, left int, nests []string, short bool) {
 	rest := slices.DeleteFunc(nests, func(m string) bool {
 		_, returned := r.deleted[m]
 		return returned || !wire.ValidMachine(m) || r.view.Binds[m] != nil
 	})
+	stored := r.view.Rents[name]
+	if stored == nil {
+		delete(r.hiring, name)
+		return
+	}
 	s := r.cfg.Params.State
 	per := ledger.MachinesPer(int(s.ValueKB*1024*groupFill), intent.Tasks)
-	c := ledger.Commit{Guards: []wire.Guard{r.guard()}, Patience: config.Secs(r.cfg.Ops.PassS)}
+	key := ledger.Key(ledger.KindRent, name)
+	c := ledger.Commit{Guards: []wire.Guard{r.guard(), {Key: key, Version: stored.Stamp}}, Patience: config.Secs(r.cfg.Ops.PassS)}
 	for len(rest) > 0 && len(c.Puts) < s.TxnOps-1 {
 		n := min(per, len(rest))
 		group := fmt.Sprintf("%s.%s", name, rest[0])
-		key := ledger.Key(ledger.KindBind, group)
-		c.Guards = append(c.Guards, wire.Guard{Key: key})
-		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: ledger.NewGroup(group, intent.Type, intent.Zone, intent.Spot, intent.At, rest[:n], ledger.Token(r.term))})
+		bind := ledger.Key(ledger.KindBind, group)
+		c.Guards = append(c.Guards, wire.Guard{Key: bind})
+		c.Puts = append(c.Puts, ledger.Put{Key: bind, Rec: ledger.NewGroup(group, intent.Type, intent.Zone, intent.Spot, intent.At, rest[:n], ledger.Token(r.term))})
 		rest = rest[n:]
 	}
 	next := *intent
-	if key := ledger.Key(ledger.KindRent, name); len(rest) == 0 && left > 0 {
+	if len(rest) == 0 && left > 0 {
 		next.Count, next.Batch, next.At = left, intent.Batch+1, time.Now().UnixMilli()
+	}
+	if len(rest) > 0 || left > 0 {
 		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: &next})
-	} else if len(rest) == 0 {
+	} else {
 		c.Delete = []string{key}
 	}
 	r.commit(c, func(out ledger.Outcome) {
@@ -583,9 +594,10 @@
 			continue
 		}
 		slog.Info("unexpected machine adopted", "machine", id, "type", h.Type, "zone", h.Zone, "spot", h.Spot)
-		key := ledger.Key(ledger.KindBind, "a."+id)
+		group := ledger.AdoptedName(id)
+		key := ledger.Key(ledger.KindBind, group)
 		c.Guards = append(c.Guards, wire.Guard{Key: key})
-		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: ledger.NewGroup("a."+id, h.Type, h.Zone, h.Spot, now.UnixMilli()-int64(h.AgeS*1000), []string{id}, ledger.Token(r.term))})
+		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: ledger.NewGroup(group, h.Type, h.Zone, h.Spot, now.UnixMilli()-int64(h.AgeS*1000), []string{id}, ledger.Token(r.term))})
 	}
 	if len(c.Puts) > 0 {
 		r.commit(c, func(ledger.Outcome) {})
--- a/internal/rent/rent_test.go
+++ b/internal/rent/rent_test.go
@@ -15,6 +15,10 @@
 // lead runs a renter that leads, over a cloud that has limit machines of one
 // type, with a service that waits for one.
 func lead(t *testing.T, limit int, f func(l *ledger.Ledger, c *standin.Cloud, r *Renter), more ...wire.MachineType) {
+	leadOver(t, standin.NewNet(1, time.Millisecond), limit, f, more...)
+}
+
+func leadOver(t *testing.T, net *standin.Net, limit int, f func(l *ledger.Ledger, c *standin.Cloud, r *Renter), more ...wire.MachineType) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
@@ -26,7 +30,6 @@
 		cfg.Params.Teams = []config.Team{{Name: "red"}}
 		types := []wire.MachineType{{Name: "s", CPUs: 4, MemoryGB: 16, Price: 1, BootS: 25, Zones: []string{"a"}}}
 		types = append(types, more...)
-		net := standin.NewNet(1, time.Millisecond)
 		conn := &standin.Conn{State: standin.NewState(), Net: net, Node: "n0", Timeout: time.Second}
 		chunk := ledger.ChunkTasks(8)
 		l := ledger.Start(ctx, conn, ledger.Options{ChunkTasks: chunk, Hold: time.Second, MaxAge: time.Second, Backoff: 100 * time.Millisecond})
@@ -189,3 +192,44 @@
 		}
 	})
 }
+
+// What a rental asks arrives once more, up to a minute and a half late. By then the
+// group that a rental made has been merged into another: the copy must not bring
+// its machine back as one with nothing bound to it, or its task would be placed
+// once more.
+func TestLateRentalDoesNotUndoAMerge(t *testing.T) {
+	net := standin.NewNet(1, time.Millisecond)
+	leadOver(t, net, 1, func(l *ledger.Ledger, _ *standin.Cloud, r *Renter) {
+		time.Sleep(time.Second)
+		net.SetFates(0, 1)
+		time.Sleep(8 * time.Second)
+		net.SetFates(0, 0)
+		row := func() (b ledger.Bind) {
+			ch := make(chan bool)
+			r.Send(func() {
+				for _, x := range r.view.Binds {
+					b = *x
+				}
+				ch <- true
+			})
+			<-ch
+			return b
+		}
+		b := row()
+		if b.Name == "" {
+			t.Fatal("nothing rented")
+		}
+		held := &ledger.Bind{Name: b.Name, Addr: "x:1", Session: 1, Token: b.Token + 1, Tasks: []ledger.Bound{{Job: "req-000001", Attempt: b.Token}}}
+		l.Commit(ledger.Commit{
+			Puts:   []ledger.Put{{Key: ledger.Key(ledger.KindBind, "other"), Rec: &ledger.Group{Type: b.Type, Zone: b.Zone, At: b.At, Binds: []*ledger.Bind{held}}}},
+			Delete: []string{ledger.Key(ledger.KindBind, b.Group)},
+		}, func(ledger.Outcome) {})
+		for range 100 {
+			r.Heard([]string{b.Name})
+			time.Sleep(time.Second)
+		}
+		if b := row(); b.Group != "other" || len(b.Tasks) != 1 {
+			t.Errorf("in group %s with %d tasks", b.Group, len(b.Tasks))
+		}
+	})
+}
