Commands to workers keep to 45 % of the sockets, a third of them busy

Cause: by count. As many are kept idle as before; half as many may be under way, and a test counts what is left.

--- a/cmd/lynxledge/fleet_test.go
+++ b/cmd/lynxledge/fleet_test.go
@@ -183,3 +183,19 @@
 		})
 	}
 }
+
+// With every machine reporting to the one controller that is left, and commands
+// to as many of them as may be, there are sockets left for users and peers.
+func TestSocketsLastForAFleet(t *testing.T) {
+	for name, f := range fleets {
+		var p config.Params
+		f.tweak(&p)
+		idle, busy := workerSockets(p.Resources)
+		if left := p.Resources.FDLimit - f.machines() - idle - busy; left < 64 {
+			t.Errorf("%s: %d sockets left", name, left)
+		}
+		if idle < f.machines()/2 {
+			t.Errorf("%s: %d connections kept for %d machines", name, idle, f.machines())
+		}
+	}
+}
--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -64,10 +64,11 @@
 func serve(ctx context.Context, cfg *config.Config, users, peers net.Listener) error {
 	p, ops := cfg.Params, cfg.Ops
 	report := config.Secs(p.Workers.ReportS)
+	idle, busy := workerSockets(p.Resources)
 	n := assemble(ctx, cfg, rand.Uint64()>>1, links{
 		state:   state.New(cfg.External.State, p.State.RPS, p.State.WriteRPS, p.State.TxnOps, report/2),
 		cloud:   cloud.New(cfg.External.Cloud, p.Cloud.RPS, ops.CloudShare, 2*report),
-		workers: worker.New(report, workerSockets(p.Resources)),
+		workers: worker.New(report, idle, busy),
 		peers:   new(net.Dialer).DialContext,
 	})
 	go func() {
@@ -82,13 +83,14 @@
 	return srv.Serve(users)
 }
 
-// workerSockets is the part of the sockets that may be used for commands to
-// workers; their reports, users and peers need the rest.
-func workerSockets(r config.Resources) int {
+// workerSockets are the parts of the sockets that commands to workers may keep
+// idle, and use. When the other controllers are down, every worker reports here
+// besides, on a socket of its own; users and peers need some too.
+func workerSockets(r config.Resources) (idle, busy int) {
 	if r.FDLimit <= 0 {
-		return math.MaxInt16
+		return math.MaxInt16, math.MaxInt16
 	}
-	return r.FDLimit * 3 / 5
+	return r.FDLimit * 3 / 10, r.FDLimit * 3 / 20
 }
 
 // links are a controller's ways to the world.
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -21,11 +21,10 @@
 }
 
 // New makes a client whose requests give up after timeout. A command that was
-// given up may still be executed later. It takes no more than the given number
-// of sockets, half of them idle.
-func New(timeout time.Duration, sockets int) *Client {
-	half := max(1, sockets/2)
-	return &Client{http: rpc.Client(timeout/2, 1, half), timeout: timeout, slots: make(chan struct{}, half)}
+// given up may still be executed later. It keeps so many idle sockets, and has no
+// more than busy requests under way, each of which may take one more.
+func New(timeout time.Duration, idle, busy int) *Client {
+	return &Client{http: rpc.Client(timeout/2, 1, max(1, idle)), timeout: timeout, slots: make(chan struct{}, max(1, busy))}
 }
 
 // Do sends commands. The worker's report comes back whether or not it
