--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -627,7 +627,8 @@
 
 // merge makes one record of groups that are written together anyhow, belong to
 // one pool and fit: the fewer groups, the fewer writes, and the sooner a place
-// that is free is known to be. Only who places for all teams does: a later hand
+// that is free is known to be. Their machines must be full: two groups that begin
+// fit into a record that is full long before the machines are. Only who places for all teams does: a later hand
 // record makes the guards fail, so that no other may miss what is bound to a
 // machine on its way from one record to the next.
 func (p *Placer) merge(r *round, c *ledger.Commit) {
@@ -645,13 +646,13 @@
 	merged := false
 	for i, name := range names {
 		into := r.drafts[name]
-		if into == nil || !into.Settled() {
+		if into == nil || !p.grown(into) {
 			continue
 		}
 		size := into.Size()
 		for _, other := range names[i+1:] {
 			d := r.drafts[other]
-			if d == nil || d.Type != into.Type || d.Zone != into.Zone || d.Spot != into.Spot || d.Lasting() || !d.Settled() {
+			if d == nil || d.Type != into.Type || d.Zone != into.Zone || d.Spot != into.Spot || d.Lasting() || !p.grown(d) {
 				continue
 			}
 			if more := d.Size(); size+more <= p.valueBytes(mergeFill) {
@@ -671,6 +672,15 @@
 	}
 }
 
+// grown tells whether a group's record will hardly grow: all its machines have
+// been up, and none has room.
+func (p *Placer) grown(d *draft) bool {
+	return d.Settled() && !slices.ContainsFunc(d.Binds, func(b *ledger.Bind) bool {
+		n := p.nodes[b.Name]
+		return n != nil && n.HasRoom()
+	})
+}
+
 func sum(m map[string]int) int {
 	n := 0
 	for _, v := range m {
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -169,6 +169,39 @@
 	})
 }
 
+// Two groups of a pool that a round writes become one only if their machines are
+// full: new ones would fill the record before themselves, and replicas waited
+// beside machines with room.
+func TestOnlyFullGroupsMerge(t *testing.T) {
+	placing(t, map[string]int{"a": 4, "b": 2}, func(_ *ledger.Ledger, p *Placer) {
+		merged := func(cpus float64) bool {
+			out := false
+			in(p, func() {
+				p.view.Hands["red"] = &ledger.Hand{Member: "n0", Boot: p.boot}
+				p.view.Jobs["req-000001"].Spec.CPUs = cpus
+				for m, b := range p.view.Binds {
+					p.renew(m, b)
+				}
+				r := &round{limit: 8, drafts: map[string]*draft{}, hands: map[string]uint64{}}
+				p.open(r, "a")
+				p.open(r, "b")
+				var c ledger.Commit
+				p.merge(r, &c)
+				if out = len(r.drafts) == 1; out && (len(c.Delete) != 1 || len(r.drafts["a"].Binds) != 6 || r.hands["red"] != p.view.Hands["red"].Stamp) {
+					t.Errorf("%+v, %d machines", c, len(r.drafts["a"].Binds))
+				}
+			})
+			return out
+		}
+		if merged(3) {
+			t.Error("merged though there is room on the machines")
+		}
+		if !merged(4) {
+			t.Error("not merged though all are full")
+		}
+	})
+}
+
 // crowd adds groups of 50 machines, and services that fit on none.
 func crowd(l *ledger.Ledger, machines, jobs int) {
 	var puts []ledger.Put
