--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -248,9 +248,6 @@
 	}
 	d := &draft{Draft: p.view.Draft(group)}
 	d.size = d.Size()
-	for _, b := range d.Binds {
-		d.size += growBytes * len(b.Tasks)
-	}
 	if len(r.drafts) > 0 && r.bytes()+d.size > bodyBytes {
 		return nil
 	}
@@ -263,10 +260,6 @@
 	return d
 }
 
-// growBytes is what a bound task's text may grow by: its attempt and stop stand as
-// what they lie below the row's token, which rises with every write.
-const growBytes = 3
-
 // prove rewrites a machine's row by what a report proves.
 func (p *Placer) prove(r *round, rec *ledger.Bind, n *noted, proof *Proof) {
 	d := p.open(r, rec.Group)
