--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -189,14 +189,6 @@
 	return b
 }
 
-// Revert puts a machine's row back as it was.
-func (d *Draft) Revert(b *Bind) {
-	if i, ok := d.index(b.Name); ok {
-		d.Binds[i] = b
-		delete(d.fresh, b.Name)
-	}
-}
-
 // Drop takes a machine out that is gone.
 func (d *Draft) Drop(machine string) {
 	if i, ok := d.index(machine); ok {
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -65,7 +65,6 @@
 	refused map[plan.Pool]time.Time
 	edits   map[string]edit // machine: what is to be written of it
 	writing bool
-	flushes bool // soon
 
 	term       uint64 // of the leadership that this state belongs to
 	hires      int
@@ -754,12 +753,8 @@
 		return
 	}
 	r.edits[m] = e
-	if !r.writing && !r.flushes {
-		r.flushes = true
-		r.After(config.Secs(r.cfg.Ops.PassS*editPause), func() {
-			r.flushes = false
-			r.flush()
-		})
+	if !r.writing {
+		r.After(config.Secs(r.cfg.Ops.PassS*editPause), r.flush)
 	}
 }
 
@@ -770,46 +765,6 @@
 // editPause, in passes, lets edits of one group come together.
 const editPause = 0.02
 
-// amend makes an edit part of a group's next record.
-func (e edit) amend(d *ledger.Draft, m string) {
-	if e.gone {
-		d.Drop(m)
-		return
-	}
-	next := d.Edit(m)
-	next.Quiet = next.Quiet || e.quiet
-	next.Closed = next.Closed || e.close
-	if e.drain != "" {
-		next.Drain = e.drain
-	}
-}
-
-// some is a group's next record with as many of the edits as fit, the others
-// taken out; nil if none does. Without it one full record of silent machines
-// could never be written again: none of them was marked or returned.
-func (r *Renter) some(group string, edits map[string]edit) *ledger.Draft {
-	limit := int(r.cfg.Params.State.ValueKB * 1024)
-	d := r.view.Draft(group)
-	fits := 0
-	for _, b := range r.view.Groups[group].Binds {
-		e, ok := edits[b.Name]
-		if !ok {
-			continue
-		}
-		if e.amend(d, b.Name); e.gone || d.Size() <= limit {
-			fits++
-			continue
-		}
-		d.Revert(b)
-		delete(edits, b.Name)
-	}
-	if fits == 0 || !d.Fit(limit) {
-		maps.DeleteFunc(edits, func(m string, _ edit) bool { return r.view.Binds[m].Group == group })
-		return nil
-	}
-	return d
-}
-
 // whyIdle is the one reason for which a machine is returned only as it was
 // seen: with nothing bound to it.
 const whyIdle = "idle"
@@ -867,21 +822,27 @@
 			}
 		}
 		done[m] = e
-		if e.amend(d, m); e.gone {
+		if e.gone {
+			d.Drop(m)
 			continue
 		}
+		next := d.Edit(m)
+		next.Quiet = next.Quiet || e.quiet
+		next.Closed = next.Closed || e.close
+		if e.drain != "" {
+			next.Drain = e.drain
+		}
 		if len(c.Guards) == 0 {
 			c.Guards = append(c.Guards, r.guard())
 		}
 	}
 	for _, d := range drafts {
 		if !d.Fit(int(r.cfg.Params.State.ValueKB * 1024)) {
-			slog.Warn("record is full; only some of its edits are written", "group", d.Name, "bytes", d.Size())
-			// As many of its edits as fit are written now; the others wait for a
-			// smaller record, as it is once machines are gone from it.
-			if d = r.some(d.Name, done); d == nil {
-				continue
-			}
+			slog.Error("record too large; nothing is written", "group", d.Name, "bytes", d.Size())
+			// Its edits are not written with the others: they wait for a smaller
+			// record. Taken for written, a closed machine was never returned.
+			maps.DeleteFunc(done, func(m string, _ edit) bool { return r.view.Binds[m].Group == d.Name })
+			continue
 		}
 		d.AddTo(&c)
 	}
