--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -68,6 +68,7 @@
 		state:   state.New(cfg.External.State, p.State.RPS, p.State.WriteRPS, p.State.TxnOps, report/2),
 		cloud:   cloud.New(cfg.External.Cloud, p.Cloud.RPS, ops.CloudShare, 2*report),
 		workers: worker.New(report, workerSockets(p.Resources)),
+		peers:   new(net.Dialer).DialContext,
 	})
 	go func() {
 		if err := n.mesh.Serve(peers, n.front.Handler()); err != nil {
@@ -101,6 +102,7 @@
 		place.Commander
 		rent.Prober
 	}
+	peers mesh.Dial
 }
 
 // node is a controller's actors that take requests.
@@ -122,7 +124,7 @@
 		MaxAge: report / 2, Backoff: report / 30, WritePause: config.Secs(1 / p.State.WriteRPS),
 		MaxValue: int(p.State.ValueKB * 1024),
 	})
-	msh := mesh.Start(ctx, cfg, led.Fresh)
+	msh := mesh.Start(ctx, cfg, to.peers, led.Fresh)
 	var placer *place.Placer
 	rep := reports.Start(ctx, cfg, boot, led, reports.Links{
 		Elsewhere: msh.Elsewhere, Alone: msh.Alone, Tell: msh.Tell,
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -63,14 +63,21 @@
 	return p
 }
 
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Start opens the streams. fresh tells from when this node's view is.
-func Start(ctx context.Context, cfg *config.Config, fresh func() time.Time) *Mesh {
+func Start(ctx context.Context, cfg *config.Config, dial Dial, fresh func() time.Time) *Mesh {
 	period := config.Secs(cfg.Params.Workers.ReportS / 3)
 	m := &Mesh{
 		Actor: actor.Start(ctx, "mesh", 128), ctx: ctx, cfg: cfg, period: period, fresh: fresh,
 		peers: map[string]*peer{},
 		client: &http.Client{Transport: &http.Transport{
-			DialContext: (&net.Dialer{Timeout: period}).DialContext, Protocols: h2c(),
+			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				ctx, cancel := context.WithTimeout(ctx, period)
+				defer cancel()
+				return dial(ctx, network, addr)
+			}, Protocols: h2c(),
 			HTTP2: &http.HTTP2Config{SendPingTimeout: 2 * period, PingTimeout: 2 * period},
 		}},
 	}
--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,128 @@
+package mesh
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lynxledge/internal/config"
+	"lynxledge/internal/frontdoor"
+	"lynxledge/internal/place"
+	"lynxledge/internal/standin"
+	"lynxledge/wire"
+)
+
+// node is one controller's end of a mesh of two.
+type node struct {
+	*Mesh
+	heard []string
+	notes []place.Note
+}
+
+// pair connects two controllers over stand-in connections; each has a view that
+// is fresh as long as its own flag says so.
+func pair(t *testing.T, f func(net *standin.Net, a, b *node, fresh map[string]bool)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		net := standin.NewNet(1, time.Millisecond)
+		pipes := standin.NewPipes(net)
+		fresh := map[string]bool{"n0": true, "n1": true}
+		names := []string{"n0", "n1"}
+		var nodes []*node
+		for i, name := range names {
+			other := names[1-i]
+			cfg := &config.Config{Name: name, Peers: []config.Peer{{Name: other, Addr: other + ":1"}}}
+			cfg.Params.Workers.ReportS = 3
+			n := &node{}
+			n.Mesh = Start(ctx, cfg, pipes.Dial(name), func() time.Time {
+				if fresh[name] {
+					return time.Now()
+				}
+				return time.Time{}
+			})
+			n.OnHeard(func(m []string) { n.heard = append(n.heard, m...) })
+			n.OnNote(func(x place.Note) { n.notes = append(n.notes, x) })
+			go n.Serve(pipes.Listen(name, name+":1"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				b, _ := io.ReadAll(r.Body)
+				w.WriteHeader(http.StatusCreated)
+				_, _ = io.WriteString(w, name+" "+r.Method+" "+r.URL.Path+" "+r.Header.Get(frontdoor.Forwarded)+" "+string(b))
+			}))
+			nodes = append(nodes, n)
+		}
+		time.Sleep(10 * time.Second)
+		f(net, nodes[0], nodes[1], fresh)
+		cancel()
+		for _, n := range names {
+			pipes.Crash(n)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+// What one controller hears and what reports prove reaches the other, until a
+// cut; then each knows that it is alone, and Tell says so, since the worker is to
+// carry the news itself. After the cut all is as before.
+func TestMeshThroughACut(t *testing.T) {
+	pair(t, func(net *standin.Net, a, b *node, _ map[string]bool) {
+		note := place.Note{Report: &wire.Report{Machine: "i-1", Addr: "x:1", Type: "t", Zone: "z", Session: 1}, RanS: map[string]float64{"req-000001/0": 2.5}}
+		a.Heard([]string{"i-1", "i-2"})
+		if !a.Tell("n1", note) || a.Tell("n9", note) {
+			t.Error("n1 out of reach, or n9 within")
+		}
+		time.Sleep(time.Second)
+		if !slices.Equal(b.heard, []string{"i-1", "i-2"}) || len(b.notes) != 1 || b.notes[0].RanS["req-000001/0"] != 2.5 {
+			t.Errorf("n1 got %v, %+v", b.heard, b.notes)
+		}
+		if a.Alone() || a.Elsewhere() != "n1" {
+			t.Errorf("alone %v, elsewhere %q", a.Alone(), a.Elsewhere())
+		}
+		net.Cut("n0", "n1", true)
+		time.Sleep(20 * time.Second)
+		if !a.Alone() || !b.Alone() || a.Elsewhere() != "" || a.Tell("n1", note) {
+			t.Errorf("in a cut: alone %v %v, elsewhere %q", a.Alone(), b.Alone(), a.Elsewhere())
+		}
+		net.HealAll()
+		time.Sleep(20 * time.Second)
+		if a.Alone() || a.Elsewhere() != "n1" || !a.Tell("n1", note) {
+			t.Errorf("after a cut: alone %v, elsewhere %q", a.Alone(), a.Elsewhere())
+		}
+	})
+}
+
+// Requests go only to a controller that has state, marked so that they are not
+// passed on again.
+func TestForwardNeedsState(t *testing.T) {
+	pair(t, func(_ *standin.Net, a, _ *node, fresh map[string]bool) {
+		status, body, err := a.Forward(context.Background(), http.MethodPost, "/work", []byte("job"))
+		if err != nil || status != http.StatusCreated || string(body) != "n1 POST /work n0 job" {
+			t.Errorf("%d %s %v", status, body, err)
+		}
+		fresh["n1"] = false
+		time.Sleep(5 * time.Second)
+		if a.Elsewhere() != "" || a.Alone() {
+			t.Errorf("elsewhere %q, alone %v", a.Elsewhere(), a.Alone())
+		}
+		if _, _, err := a.Forward(context.Background(), http.MethodGet, "/work/req-000001", nil); err == nil {
+			t.Error("forwarded to a controller without state")
+		}
+	})
+}
+
+// A beat that no controller of the settings sent is not believed.
+func TestStrangersBeat(t *testing.T) {
+	pair(t, func(_ *standin.Net, a, _ *node, _ map[string]bool) {
+		r := httptest.NewRequest(http.MethodPost, "/beats", nil)
+		r.Body = io.NopCloser(strings.NewReader(`{"member":"n7","heard":["i-9"]}{"member":"n1","note":{"report":{"nest":""}}}rubbish`))
+		a.beats(httptest.NewRecorder(), r)
+		time.Sleep(time.Second)
+		if len(a.heard) > 0 || len(a.notes) > 0 {
+			t.Errorf("believed: %v %v", a.heard, a.notes)
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/pipes.go
@@ -0,0 +1,173 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"sync"
+)
+
+// Pipes carries connections between hosts through a Net: a cut stalls what is
+// written until it heals, and no new connection comes about meanwhile.
+type Pipes struct {
+	net       *Net
+	mu        sync.Mutex
+	listeners map[string]*pipeListener // by address
+	conns     map[*pipeConn]bool
+}
+
+// NewPipes makes connections that follow the fate of a net's hosts.
+func NewPipes(n *Net) *Pipes {
+	return &Pipes{net: n, listeners: map[string]*pipeListener{}, conns: map[*pipeConn]bool{}}
+}
+
+type pipeListener struct {
+	pipes  *Pipes
+	host   string
+	addr   pipeAddr
+	queue  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+type pipeAddr string
+
+func (pipeAddr) Network() string  { return "pipe" }
+func (a pipeAddr) String() string { return string(a) }
+
+// Listen takes connections to an address of a host.
+func (p *Pipes) Listen(host, addr string) net.Listener {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := &pipeListener{pipes: p, host: host, addr: pipeAddr(addr), queue: make(chan net.Conn), closed: make(chan struct{})}
+	p.listeners[addr] = l
+	return l
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return l.addr }
+
+// Dial connects from a host, as a net.Dialer would.
+func (p *Pipes) Dial(host string) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, _, addr string) (net.Conn, error) {
+		p.mu.Lock()
+		l := p.listeners[addr]
+		p.mu.Unlock()
+		if l == nil {
+			return nil, errNoAnswer
+		}
+		if p.net.between(host, l.host) != nil {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		near, far := net.Pipe()
+		a := p.keep(near, host, l.host)
+		b := p.keep(far, l.host, host)
+		select {
+		case l.queue <- b:
+			return a, nil
+		case <-l.closed:
+			a.Close()
+			return nil, errNoAnswer
+		case <-ctx.Done():
+			a.Close()
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (p *Pipes) keep(c net.Conn, host, other string) *pipeConn {
+	k := &pipeConn{Conn: c, pipes: p, host: host, other: other, queue: make(chan []byte, 1024), closed: make(chan struct{})}
+	go k.pump()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[k] = true
+	return k
+}
+
+// Crash ends every connection of a host, and its listeners.
+func (p *Pipes) Crash(host string) {
+	p.mu.Lock()
+	var ends []*pipeConn
+	for c := range p.conns {
+		if c.host == host || c.other == host {
+			ends = append(ends, c)
+		}
+	}
+	for addr, l := range p.listeners {
+		if l.host == host {
+			l.Close()
+			delete(p.listeners, addr)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range ends {
+		c.Close()
+	}
+}
+
+type pipeConn struct {
+	net.Conn
+	pipes       *Pipes
+	host, other string
+	queue       chan []byte
+	closed      chan struct{}
+	once        sync.Once
+}
+
+// Write never waits: a writer that did would hold locks of its library, and a
+// test's clock stands still while anyone waits for a lock.
+func (c *pipeConn) Write(b []byte) (int, error) {
+	select {
+	case <-c.closed:
+		return 0, net.ErrClosed
+	case c.queue <- bytes.Clone(b):
+		return len(b), nil
+	default:
+		c.Close() // nobody has read for long
+		return 0, errNoAnswer
+	}
+}
+
+// pump delivers what was written, once no cut is in between.
+func (c *pipeConn) pump() {
+	for {
+		select {
+		case <-c.closed:
+			return
+		case b := <-c.queue:
+			for cut := c.pipes.net.between(c.host, c.other); cut != nil; cut = c.pipes.net.between(c.host, c.other) {
+				select {
+				case <-cut.healed:
+				case <-c.closed:
+					return
+				}
+			}
+			if _, err := c.Conn.Write(b); err != nil {
+				c.Close()
+				return
+			}
+		}
+	}
+}
+
+func (c *pipeConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	c.pipes.mu.Lock()
+	delete(c.pipes.conns, c)
+	c.pipes.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -7,11 +7,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"lynxledge/internal/state"
 	"lynxledge/wire"
 )
@@ -38,6 +41,57 @@
 	down     bool
 	changed  chan struct{}
 	IgnoreIf func(key string) bool // guards to break on purpose
+
+	limits   Limits
+	writes   *rate.Limiter // nil: no limit
+	breaches []string
+}
+
+// Limits are the service's own. What is asked beyond them is refused, and kept
+// as a breach unless only the rate is.
+type Limits struct {
+	WriteRPS float64
+	ValueKB  float64
+	TxnOps   int
+	Keep     int // changes kept for watches; 0: all
+}
+
+// SetLimits makes the service keep to limits.
+func (s *State) SetLimits(l Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = l
+	s.writes = rate.NewLimiter(rate.Limit(l.WriteRPS), int(l.WriteRPS))
+}
+
+// Breaches lists what was asked beyond the limits of one request.
+func (s *State) Breaches() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.breaches)
+}
+
+// check tells whether a transaction is one that the service takes; the caller
+// holds the lock.
+func (s *State) check(txn *wire.Txn) error {
+	if s.writes == nil {
+		return nil
+	}
+	for _, w := range txn.Writes {
+		if max := s.limits.ValueKB * 1024; float64(len(w.Value)) > max {
+			s.breaches = append(s.breaches, fmt.Sprintf("%s has %d bytes of %v", w.Key(), len(w.Value), max))
+			return state.ErrInvalid
+		}
+	}
+	body, _ := json.Marshal(txn)
+	if n, g := len(txn.Writes), len(txn.Guards); n > s.limits.TxnOps || g > 4*s.limits.TxnOps || len(body) > wire.MaxBody {
+		s.breaches = append(s.breaches, fmt.Sprintf("%d writes, %d guards, %d bytes in a transaction", n, g, len(body)))
+		return state.ErrInvalid
+	}
+	if len(txn.Writes) > 0 && !s.writes.AllowN(time.Now(), len(txn.Writes)) {
+		return state.ErrBusy
+	}
+	return nil
 }
 
 // NewState makes an empty store.
@@ -102,6 +156,9 @@
 	if s.down {
 		return 0, state.ErrRefused
 	}
+	if err := s.check(txn); err != nil {
+		return 0, err
+	}
 	var failed []string
 	for _, g := range txn.Guards {
 		if s.keys[g.Key].version != g.Version && (s.IgnoreIf == nil || !s.IgnoreIf(g.Key)) {
@@ -167,6 +224,10 @@
 		out := &wire.Events{Revision: s.rev}
 		// The log is ordered by revision; find the first change after it.
 		i := sort.Search(len(s.log), func(i int) bool { return s.log[i].Version > after })
+		if keep := s.limits.Keep; keep > 0 && len(s.log)-i > keep {
+			s.mu.Unlock()
+			return nil, state.ErrTooOld
+		}
 		for _, e := range s.log[i:] {
 			if strings.HasPrefix(e.Put+e.Delete, prefix) {
 				out.Events = append(out.Events, e)
