--- a/internal/frontdoor/frontdoor.go
+++ b/internal/frontdoor/frontdoor.go
@@ -132,8 +132,16 @@
 
 var errNoState = errors.New("state service not reachable")
 
+// lost tells whether this node has had no word of the state service for so long
+// that a call would only hang: the time that a user waits is better spent on
+// another controller.
+func (f *Front) lost() bool { return time.Since(f.ledger.Fresh()) > f.stale }
+
 // barrier waits until the view holds everything committed before the call.
 func (f *Front) barrier(ctx context.Context) error {
+	if f.lost() {
+		return errNoState
+	}
 	ch := make(chan error, 1)
 	f.ledger.Refresh(func(err error) {
 		if err != nil {
@@ -325,8 +333,8 @@
 }
 
 func (f *Front) accept(ctx context.Context, w http.ResponseWriter, r *http.Request, j *wire.Job, body []byte) {
-	if time.Since(f.ledger.Fresh()) > f.stale {
-		f.relay(ctx, w, r, body) // a commit would only hang
+	if f.lost() {
+		f.relay(ctx, w, r, body)
 		return
 	}
 	key := ledger.Key(ledger.KindJob, j.ID)
@@ -394,6 +402,9 @@
 			answer(w, http.StatusOK, l.status)
 			return
 		}
+		if f.lost() {
+			break
+		}
 		next := *l.job
 		next.State, next.EndAt = wire.JobCancelled, time.Now().UnixMilli()
 		key := ledger.Key(ledger.KindJob, id)
