--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -263,7 +263,8 @@
 }
 
 // fail backs a job off: a refusal for want of room for one report, a real
-// failure twice as long each time.
+// failure twice as long each time, up to a lease: no job is left waiting beside
+// room for much longer than that.
 func (p *Placer) fail(job, machine, why string, now time.Time) {
 	f := p.failed[job]
 	if f == nil {
@@ -276,7 +277,7 @@
 		return
 	}
 	f.count++
-	wait := p.cfg.Params.Workers.ReportS * math.Pow(2, float64(min(f.count, 6)-2))
+	wait := min(p.cfg.Params.Workers.ReportS*math.Pow(2, float64(min(f.count, 6)-2)), p.cfg.Params.Workers.LeaseS)
 	f.until = now.Add(config.Secs(wait))
 	slog.Info("task failed", "job", job, "machine", machine, "why", why, "failures", f.count, "wait_s", wait)
 }
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -332,3 +332,19 @@
 	c <- cmd
 	return nil, context.Canceled
 }
+
+// However often a job's tasks have failed, it is tried again before it has waited
+// for long beside machines with room.
+func TestBackOffEnds(t *testing.T) {
+	placing(t, map[string]int{"a": 1}, func(_ *ledger.Ledger, p *Placer) {
+		in(p, func() {
+			now := time.Now()
+			for range 20 {
+				p.fail("req-000001", "i-a000", wire.WhyError, now)
+			}
+			if wait := p.failed["req-000001"].until.Sub(now); wait != 44*time.Second {
+				t.Errorf("%v after 20 failures, not a lease", wait)
+			}
+		})
+	})
+}
