--- a/cmd/lynxledge/meetings_test.go
+++ b/cmd/lynxledge/meetings_test.go
@@ -70,10 +70,21 @@
 
 var longJobs = []string{"req-000001", "req-000002"}
 
+// gather has every worker report to one controller.
+func (w *world) gather(node string) {
+	for _, n := range w.others(node) {
+		w.crash(n)
+	}
+	w.pass(8 * time.Second)
+	w.restart()
+	w.pass(3 * time.Second)
+}
+
 // gap: the state service refuses the leader alone, another controller confirms
 // cancellations, then the service is down for all for longer than cancel_s.
 func gap(t *testing.T, w *world) {
 	old := w.leader()
+	w.gather(old)
 	w.state.Refuse(old, true)
 	w.pass(time.Second)
 	for _, id := range longJobs {
@@ -99,6 +110,7 @@
 	}},
 	{"leader without state and peers, cancelled elsewhere", func(t *testing.T, w *world) {
 		old := w.leader()
+		w.gather(old)
 		w.isolate(old)
 		w.pass(5 * time.Second)
 		for _, id := range longJobs {
