Stand-in: a machine that was given notice is taken

The red of TestRules: a job bound to one zone waited beside a machine that was under notice and drained, but which the stand-in never took. The cloud takes it; now the stand-in does.

--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -192,13 +192,23 @@
 	}
 }
 
-// Notice gives a machine notice that it will be taken.
-func (c *Cloud) Notice(id string, s float64) {
+// Notice gives a machine notice that it will be taken, which happens then.
+func (c *Cloud) Notice(id string, seconds float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if h := c.hosts[id]; h != nil && h.worker != nil {
-		h.worker.Notice(s)
+	h := c.hosts[id]
+	if h == nil || h.worker == nil {
+		return
 	}
+	h.worker.Notice(seconds)
+	time.AfterFunc(time.Duration(seconds*float64(time.Second)), func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.hosts[id] == h {
+			h.worker.Kill()
+			delete(c.hosts, id)
+		}
+	})
 }
 
 // Running lists the machines that run.
