Golden records of production; splits, parts and limits tested; one read for all predecessors

Records and messages that the version in production wrote are read and written again as they were. Groups that a change tells first are no longer taken over before the jobs bound on them, where one revision holds both.

--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -66,7 +66,7 @@
 	report := config.Secs(p.Workers.ReportS)
 	idle, busy := workerSockets(p.Resources)
 	n := assemble(ctx, cfg, rand.Uint64()>>1, links{
-		state:   state.New(cfg.External.State, p.State.RPS, p.State.WriteRPS, p.State.TxnOps, report/2),
+		state:   state.New(cfg.External.State, p.State.ReadRPS(), p.State.WriteRPS, p.State.TxnOps, report/2),
 		cloud:   cloud.New(cfg.External.Cloud, p.Cloud.RPS, ops.CloudShare, 2*report),
 		workers: worker.New(report, idle, busy),
 		peers:   new(net.Dialer).DialContext,
@@ -163,7 +163,7 @@
 // readPause is the least time between two reads of this controller so that all
 // of them keep to a share of the rate.
 func readPause(cfg *config.Config, share float64) time.Duration {
-	return config.Secs(float64(len(cfg.Peers)+1) / (cfg.Params.State.RPS * share))
+	return config.Secs(float64(len(cfg.Peers)+1) / (cfg.Params.State.ReadRPS() * share))
 }
 
 func teams(ts []config.Team) []string {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -76,6 +76,14 @@
 	return int(kb * 1024)
 }
 
+// ReadRPS is the rate of requests, now and later.
+func (s *State) ReadRPS() float64 {
+	if s.Next != nil && s.Next.RPS != nil {
+		return min(s.RPS, *s.Next.RPS)
+	}
+	return s.RPS
+}
+
 // Ops is the most writes that a transaction may have, now and later.
 func (s *State) Ops() int {
 	if s.Next != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -94,6 +96,62 @@
 	}
 }
 
+// Limits to come are optional; given, each must be one that the ledger can work with.
+// Sizes fit the smaller of both from the start.
+func TestLimitsToCome(t *testing.T) {
+	with := func(next string) (*Config, error) {
+		return Parse(strings.Replace(sound, "[params.cloud]", "[params.state.next]\n"+next+"\n[params.cloud]", 1))
+	}
+	c, err := with("write_rps = 35.0\nvalue_kb = 2.0\ntxn_ops = 24")
+	if err != nil || c.Params.State.ValueBytes() != 2048 || c.Params.State.Ops() != 8 {
+		t.Errorf("%v: %d bytes, %d writes", err, c.Params.State.ValueBytes(), c.Params.State.Ops())
+	}
+	for next, names := range map[string]string{
+		"": "params.state.next.write_rps", "write_rps = 35.0\nvalue_kb = 2.0": "params.state.next.txn_ops", "write_rps = 35.0\ntxn_ops = 8": "params.state.next.value_kb",
+		"write_rps = 0.0\nvalue_kb = 2.0\ntxn_ops = 8": "params.state.next.write_rps", "write_rps = 5.0\nvalue_kb = 0.5\ntxn_ops = 8": "params.state.next.value_kb",
+		"write_rps = 5.0\nvalue_kb = 2.0\ntxn_ops = 3": "params.state.next.txn_ops", "rps = 0.0\nwrite_rps = 5.0\nvalue_kb = 2.0\ntxn_ops = 8": "params.state.next.rps",
+	} {
+		if _, err := with(next); err == nil || !strings.Contains(err.Error(), names) {
+			t.Errorf("%q: %v", next, err)
+		}
+	}
+}
+
+// The lower rate is taken up when refusals go on, for a while; for good once a size
+// was refused. A burst says nothing, nor do refusals where no other rate is to come.
+func TestLowerRateIsTakenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &Config{Rates: &Rates{}}
+		c.Params.State = State{WriteRPS: 50, Next: &StateNext{WriteRPS: 35}}
+		refused := func(seconds int) {
+			for range 3 * seconds {
+				c.Rates.Busy(time.Now())
+				time.Sleep(time.Second / 3)
+			}
+		}
+		want := func(when string, rate float64) {
+			if got := c.WriteRPS(); got != rate {
+				t.Errorf("%s: %v", when, got)
+			}
+		}
+		want("at first", 50)
+		refused(3)
+		want("after a burst", 50)
+		time.Sleep(10 * time.Second)
+		refused(3)
+		want("after another", 50)
+		time.Sleep(10 * time.Second)
+		refused(6)
+		want("after refusals that went on", 35)
+		time.Sleep(time.Minute)
+		want("a minute later", 50)
+		c.Rates.Lower()
+		want("after a size was refused", 35)
+		c.Params.State.Next = nil
+		want("with no other to come", 50)
+	})
+}
+
 func TestDeadlines(t *testing.T) {
 	c, err := Parse(sound)
 	if err != nil {
--- a/internal/frontdoor/frontdoor.go
+++ b/internal/frontdoor/frontdoor.go
@@ -326,16 +326,21 @@
 }
 
 // predecessors tells why a job can't wait for what it names. That a job was
-// accepted is final: only for one that is not known here the state has to be read.
+// accepted is final: only if one is not known here the state has to be read, once.
 func (f *Front) predecessors(ctx context.Context, j *wire.Job) (status int, why string, err error) {
+	read := false
 	for _, id := range j.Awaits {
 		l, ok := f.look(id)
-		if !ok || !l.known {
-			if l, err = f.current(ctx, id); err != nil {
+		if ok && !l.known && !read {
+			if err := f.barrier(ctx); err != nil {
 				return 0, "", err
 			}
+			read = true
+			l, ok = f.look(id)
 		}
 		switch {
+		case !ok:
+			return 0, "", errNoState
 		case id == j.ID:
 			return http.StatusUnprocessableEntity, "awaits: the job names itself", nil
 		case !l.known:
--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -241,6 +241,11 @@
 		from = all[0].Name
 	}
 	empty := groupBytes + len(d.Type) + len(d.Zone)
+	same := 0 // what a new record's rows have in common stands there once
+	for _, b := range all {
+		same = max(same, len(b.Name)+len(b.Addr))
+	}
+	empty += same
 	d.Binds, d.Marks = nil, map[string][]int{}
 	groups, sizes := []*Draft{d}, []int{empty}
 	first := func(more int) *Draft { // the first with room
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -280,12 +280,15 @@
 }
 
 // order has a group that takes over another's machines, in a merge or a split, come
-// before the other's new record or its end, or they would seem to be gone in between.
+// before the other's new record or its end, or they would seem to be gone in between;
+// and jobs before what is bound of them.
 func (l *Ledger) order(chs []Change) {
 	rank := func(c *Change) int {
 		switch {
 		case c.Rec == nil:
 			return 2
+		case c.Kind == KindJob:
+			return -1
 		case c.Kind == KindBind && l.view.Groups[c.Name] == nil:
 			return 0
 		}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -126,3 +128,20 @@
 		}
 	})
 }
+
+// What the version in production says on a stream is understood, and said again
+// field by field as it was.
+func TestMessagesOfTheVersionInProduction(t *testing.T) {
+	was, err := os.ReadFile("testdata/production.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b Beat
+	if err := json.Unmarshal(was, &b); err != nil || b.Note == nil || b.Note.Report.Check() != nil {
+		t.Fatalf("%+v: %v", b, err)
+	}
+	is, _ := json.Marshal(b)
+	if string(is) != strings.TrimSpace(string(was)) {
+		t.Errorf("was %s, is %s", was, is)
+	}
+}
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -348,3 +348,71 @@
 		})
 	})
 }
+
+// Marks go to whole chunks until the service refuses their size; then what doesn't
+// fit goes to parts, beside what whole chunks hold already.
+func TestMarksGoToPartsUnderALowerLimit(t *testing.T) {
+	placing(t, map[string]int{"a": 1}, func(_ *ledger.Ledger, p *Placer) {
+		in(p, func() {
+			p.cfg.Params.State.Next = &config.StateNext{WriteRPS: 15, ValueKB: 1, TxnOps: 4}
+			p.cfg.Rates = &config.Rates{}
+			part := ledger.PartTasks(1024)
+			r := &round{folds: map[string]*ledger.DoneChunk{}}
+			for _, task := range []int{0, part - 1, part, 9000} {
+				if id := p.recordOf(r, "req-000001", task); id != (ledger.ChunkID{From: ledger.Whole}) {
+					t.Errorf("before: task %d goes to %v", task, id)
+				}
+			}
+			p.cfg.Rates.Lower()
+			for task, from := range map[int]int{0: ledger.Whole, part - 1: ledger.Whole, part: part, 9000: 9000 / part * part} {
+				if id := p.recordOf(r, "req-000001", task); id != (ledger.ChunkID{From: from}) {
+					t.Errorf("after: task %d goes to %v", task, id)
+				}
+			}
+			var whole *ledger.DoneChunk
+			p.view.Chunks["req-000001"] = map[ledger.ChunkID]*ledger.DoneChunk{{From: ledger.Whole}: whole.With(part + 100)}
+			if id := p.recordOf(r, "req-000001", 0); id != (ledger.ChunkID{From: 0}) {
+				t.Errorf("beside a whole chunk that is too large: %v", id)
+			}
+		})
+	})
+}
+
+// A record that is full before its machines are is split by whoever places for all,
+// and one that no longer fits the limit, in a round that has the writes for it.
+func TestFullRecordsAreSplit(t *testing.T) {
+	placing(t, map[string]int{"a": 20}, func(l *ledger.Ledger, p *Placer) {
+		in(p, func() {
+			p.worker = make(commands, 100)
+			for _, h := range p.view.Hands {
+				h.Boot = p.boot
+			}
+			p.crowded["a"] = true
+			p.schedule()
+		})
+		time.Sleep(5 * time.Second)
+		in(p, func() {
+			if len(p.view.Groups) != 1 { // it fits into one
+				t.Errorf("%d groups", len(p.view.Groups))
+			}
+			p.cfg.Params.State.Next = &config.StateNext{WriteRPS: 15, ValueKB: 0.5, TxnOps: 4}
+			p.large["a"] = true
+			p.schedule()
+		})
+		time.Sleep(10 * time.Second)
+		in(p, func() {
+			tasks := 0
+			for _, g := range p.view.Groups {
+				if g.Size() > 512 {
+					t.Errorf("%s has %d bytes", g.Name, g.Size())
+				}
+				for _, b := range g.Binds {
+					tasks += len(b.Tasks)
+				}
+			}
+			if len(p.view.Groups) < 2 || len(p.view.Binds) != 20 || tasks != 20 || len(p.view.Bound["req-000001"]) != 20 {
+				t.Errorf("%d groups, %d machines, %d tasks", len(p.view.Groups), len(p.view.Binds), tasks)
+			}
+		})
+	})
+}
