An array that gives way as soon as it is placed waits for a report

Cause: most tasks that were stopped for others had just been placed. Small work of low rank takes a place that larger work can't use; that work then takes the whole machine; and the small work the next place, thirteen times over, each time for two writes and a launch.

Services don't wait.

--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -56,6 +56,7 @@
 	images map[string][]image   // machine: images fetched there, newest first
 	failed map[string]*failure  // job: what went wrong lately
 	shaky  map[string]time.Time // machine: not to be used until
+	yields map[string]time.Time // array: not to be placed until, since a task of it gave way as soon as it was
 
 	nodes  map[string]*Node
 	all    []*Node
@@ -117,7 +118,7 @@
 		pace:  rate.NewLimiter(rate.Limit(s.WriteRPS*cfg.Ops.StateShare), s.Ops()),
 		view:  ledger.NewRunningView(ledger.ChunkTasks(s.ValueKB)),
 		types: map[string]*wire.MachineType{}, active: map[string]*ledger.Job{}, runs: NewEstimates(), low: map[string]int{},
-		images: map[string][]image{}, failed: map[string]*failure{}, shaky: map[string]time.Time{},
+		images: map[string][]image{}, failed: map[string]*failure{}, shaky: map[string]time.Time{}, yields: map[string]time.Time{},
 		nodes: map[string]*Node{}, pools: map[pool]stock{}, starts: map[string]*Node{}, tally: Tally{},
 		notes: map[string]map[string]*noted{}, ripe: map[string]time.Time{}, large: map[string]bool{}, crowded: map[string]bool{}, fallen: map[string]*ledger.Job{},
 	}
@@ -197,6 +198,7 @@
 				delete(p.active, c.Name)
 				delete(p.low, c.Name)
 				delete(p.failed, c.Name)
+				delete(p.yields, c.Name)
 				delete(p.ripe, c.Name)
 				p.runs.Forget(c.Name)
 			}
@@ -527,6 +529,9 @@
 		if f := p.failed[id]; f != nil && now.Before(f.until) {
 			continue
 		}
+		if now.Before(p.yields[id]) {
+			continue
+		}
 		w := waiting{id: id, job: j, hand: mine[j.Spec.Team].Stamp, most: left}
 		run := p.runs.RunS(j.Spec)
 		age := float64(now.UnixMilli()-j.Since()) / 1000
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -688,6 +688,11 @@
 			continue
 		}
 		t.Stop = rec.Token
+		// What gives way as soon as it is placed would take the next free place, and give
+		// way again: each time two writes and a launch for nothing.
+		if !task.Job.Service() && task.Spent < p.cfg.Params.Workers.ReportS {
+			p.yields[t.Job] = r.now.Add(p.reportS(1))
+		}
 		d.size += 12
 		grace := 0.0
 		r.stops[v.Node.Name] = append(r.stops[v.Node.Name], wire.Order{Op: wire.OpStop, Task: t.Name(), Attempt: t.Attempt, GraceS: &grace})
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -458,3 +458,33 @@
 		}
 	})
 }
+
+// An array that gave way as soon as it was placed waits for a report; one that had
+// run for a while, and a service, don't.
+func TestWhatGivesWayAtOnceWaits(t *testing.T) {
+	placing(t, map[string]int{"a": 1}, func(_ *ledger.Ledger, p *Placer) {
+		queued := func(spent float64, shape string, later time.Duration) bool {
+			out := false
+			in(p, func() {
+				p.view.Hands["red"] = &ledger.Hand{Member: "n0", Boot: p.boot}
+				p.view.Jobs["req-000001"].Spec.Shape = shape
+				n := p.nodes["i-a000"]
+				r := &round{now: time.Now(), limit: 8, drafts: map[string]*draft{}, stops: map[string][]wire.Order{}}
+				n.Tasks[0].Spent = spent
+				p.stop(r, p.open(r, "a"), &Victims{Node: n, Tasks: []int{0}})
+				for _, w := range p.queue(p.mine(), r.now.Add(later)) {
+					out = out || w.id == "req-000001"
+				}
+				clear(p.yields)
+				p.undo([]string{"i-a000"})
+			})
+			return out
+		}
+		if queued(1, wire.ShapeArray, 0) || !queued(1, wire.ShapeArray, 9*time.Second) {
+			t.Error("gave way at once: not as it should be")
+		}
+		if !queued(9, wire.ShapeArray, 0) || !queued(1, wire.ShapeService, 0) {
+			t.Error("held back for nothing")
+		}
+	})
+}
