--- a/cmd/lynxledge/cluster_test.go
+++ b/cmd/lynxledge/cluster_test.go
@@ -224,7 +224,7 @@
 	"deafen worker", "deafen worker", "bounce", "bounce", "bounce machine",
 	"refuse leader", "refuse leader", "end refusals", "slow state", "late writes", "mute worker", "mute worker", "hang worker", "hang worker",
 	"at end", "odd", "abort all", "bounce leader",
-	"pipeline", "pipeline", "pipeline",
+	"pipeline", "pipeline", "pipeline", "lower limits",
 }
 
 func genActs() *rapid.Generator[[]act] {
@@ -244,6 +244,10 @@
 		w.submit(a)
 	case "pipeline":
 		w.pipeline(a)
+	case "lower limits":
+		if n := w.next; n != nil {
+			w.state.SetLimits(standin.Limits{WriteRPS: n.WriteRPS, ValueKB: n.ValueKB, TxnOps: n.TxnOps})
+		}
 	case "resubmit":
 		if len(w.known) > 0 {
 			j := w.known[a.A%len(w.known)]
@@ -535,12 +539,19 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		w := newWorld(ctx, seed, small, tweak)
+		if s := w.cfg.Params.State; seed%2 == 1 { // the limits may fall, which controllers that start later know
+			w.state.SetLimits(standin.Limits{WriteRPS: s.WriteRPS, ValueKB: s.ValueKB, TxnOps: s.TxnOps})
+			w.next = &config.StateNext{WriteRPS: s.WriteRPS / 2, ValueKB: max(1, s.ValueKB/4), TxnOps: max(4, s.TxnOps/2)}
+			for _, n := range w.nodes {
+				w.bounce(n)
+			}
+		}
 		w.pass(5 * time.Second)
 		for _, a := range acts {
 			w.do(a)
 		}
 		w.recover()
-		breaches, open = w.rules.Breaches(), append(w.rules.Open(), w.rules.Missing()...)
+		breaches, open = append(w.rules.Breaches(), w.state.Breaches()...), append(w.rules.Open(), w.rules.Missing()...)
 		if len(open) > 0 {
 			dump = w.state.Dump()
 		}
