--- a/internal/rent/rent_test.go
+++ b/internal/rent/rent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -233,3 +234,44 @@
 		}
 	})
 }
+
+// What the leader wants written of many machines of one group may make its record
+// too large, though it is far from full: in a later term each row that is rewritten
+// grows. It has to be written all the same, or silent machines are never returned.
+func TestEditsThatFillARecordAreWritten(t *testing.T) {
+	lead(t, 0, func(l *ledger.Ledger, _ *standin.Cloud, r *Renter) {
+		limit := r.cfg.Params.State.ValueBytes()
+		g := &ledger.Group{Name: "g", Type: "s", Zone: "a"}
+		for i := 0; g.Size() < limit*17/20; i++ {
+			b := &ledger.Bind{Name: fmt.Sprintf("i-%06d", 100+i), Addr: "x:1", Session: 1, Token: ledger.Token(1) + 9}
+			for n := range 4 {
+				b.Tasks = append(b.Tasks, ledger.Bound{Job: "req-000001", N: 4*i + n, Attempt: ledger.Token(1) + 8})
+			}
+			g.Binds = append(g.Binds, b)
+		}
+		l.Commit(ledger.Commit{Puts: []ledger.Put{
+			{Key: ledger.LeaderKey, Rec: &ledger.Leader{Member: "n0", Boot: 7, Term: 2}}, {Key: ledger.TermKey, Rec: &ledger.Term{Term: 2}},
+			{Key: ledger.Key(ledger.KindBind, "g"), Rec: g},
+		}}, func(ledger.Outcome) {})
+		time.Sleep(time.Second)
+		r.Send(func() {
+			for _, b := range g.Binds {
+				r.edit(b.Name, edit{quiet: true})
+			}
+		})
+		time.Sleep(10 * time.Second)
+		marked := make(chan int)
+		r.Send(func() {
+			n := 0
+			for _, b := range g.Binds {
+				if r.view.Binds[b.Name] != nil && r.view.Binds[b.Name].Quiet {
+					n++
+				}
+			}
+			marked <- n
+		})
+		if n := <-marked; n != len(g.Binds) {
+			t.Errorf("%d of %d machines marked", n, len(g.Binds))
+		}
+	})
+}
