--- a/internal/rent/rent_test.go
+++ b/internal/rent/rent_test.go
@@ -240,6 +240,7 @@
 // grows. It has to be written all the same, or silent machines are never returned.
 func TestEditsThatFillARecordAreWritten(t *testing.T) {
 	lead(t, 0, func(l *ledger.Ledger, _ *standin.Cloud, r *Renter) {
+		time.Sleep(time.Second) // the first term is written, and this one comes after it
 		limit := r.cfg.Params.State.ValueBytes()
 		g := &ledger.Group{Name: "g", Type: "s", Zone: "a"}
 		for i := 0; g.Size() < limit*17/20; i++ {
