--- a/cmd/lynxledge/cluster_test.go
+++ b/cmd/lynxledge/cluster_test.go
@@ -534,6 +534,18 @@
 	}
 }
 
+// faults lists what a day must not end with, once the cluster has recovered.
+func (w *world) faults() []string {
+	var out []string
+	for _, b := range append(w.rules.Breaches(), w.state.Breaches()...) {
+		out = append(out, "rule broken: "+b)
+	}
+	for _, id := range append(w.rules.Open(), w.rules.Missing()...) {
+		out = append(out, "never finished: "+id)
+	}
+	return out
+}
+
 func play(t *testing.T, seed uint64, acts []act, tweak func(*config.Params)) (breaches, open []string, dump string) {
 	synctest.Test(t, func(*testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -715,11 +727,8 @@
 			if largest <= 1024 {
 				t.Errorf("seed %d: the largest record had %d bytes: nothing to split", seed, largest)
 			}
-			for _, b := range append(w.rules.Breaches(), w.state.Breaches()...) {
-				t.Errorf("seed %d: %s", seed, b)
-			}
-			for _, id := range append(w.rules.Open(), w.rules.Missing()...) {
-				t.Errorf("seed %d: never finished: %s", seed, id)
+			for _, f := range w.faults() {
+				t.Errorf("seed %d: %s", seed, f)
 			}
 			cancel()
 			w.end()
--- a/cmd/lynxledge/fleet_test.go
+++ b/cmd/lynxledge/fleet_test.go
@@ -153,11 +153,8 @@
 	}
 	step(30 * time.Second)
 	w.recover()
-	for _, b := range append(w.rules.Breaches(), w.state.Breaches()...) {
-		t.Error("rule broken: ", b)
-	}
-	for _, id := range append(w.rules.Open(), w.rules.Missing()...) {
-		t.Error("never finished: ", id)
+	for _, fault := range w.faults() {
+		t.Error(fault)
 	}
 	for _, u := range w.rules.Unserved(4 * time.Minute) {
 		t.Error("not served within four minutes: ", u)
--- a/cmd/lynxledge/meetings_test.go
+++ b/cmd/lynxledge/meetings_test.go
@@ -171,7 +171,6 @@
 		w.pass(30 * time.Second)
 	}},
 	{"cancellations, questions and repeats at the end", func(_ *testing.T, w *world) {
-		w.rules.AtEnd(nil)
 		for i := range 9 {
 			w.meetEnds(i)
 			w.array(fmt.Sprintf("req-0003%02d", i), "blue", 1+i%3, 3*time.Second, nil)
@@ -328,11 +327,8 @@
 					w.opening()
 					m.play(t, w)
 					w.recover()
-					for _, b := range w.rules.Breaches() {
-						t.Errorf("seed %d: rule broken: %s", seed, b)
-					}
-					for _, id := range append(w.rules.Open(), w.rules.Missing()...) {
-						t.Errorf("seed %d: never finished: %s", seed, id)
+					for _, f := range w.faults() {
+						t.Errorf("seed %d: %s", seed, f)
 					}
 					cancel()
 					w.end()
