--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -409,14 +410,13 @@
 			if old.due.Before(due) {
 				due = old.due
 			}
-			for t, s := range old.RanS {
-				if n.RanS[t] == 0 {
-					if n.RanS == nil {
-						n.RanS = map[string]float64{}
-					}
-					n.RanS[t] = s
-				}
+			// The mesh may be sending the note as it came: its map is not written to.
+			ran := maps.Clone(old.RanS)
+			if ran == nil {
+				ran = map[string]float64{}
 			}
+			maps.Copy(ran, n.RanS)
+			n.RanS = ran
 		}
 		p.file(rec.Group, rec.Name, &noted{n, due, ended(n.Report)})
 		p.schedule()
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -280,3 +280,55 @@
 		t.Errorf("%v allocations among 150 machines, %v among 2050", few, many)
 	}
 }
+
+// What a report proves goes to the mesh, and to this placer, which may put it
+// together with an earlier one: a map that both held ended the process.
+func TestNoteIsNotWrittenTo(t *testing.T) {
+	placing(t, map[string]int{"a": 1}, func(_ *ledger.Ledger, p *Placer) {
+		first, second := endedOn(groupOf("a", 1), 0), endedOn(groupOf("a", 1), 0)
+		first.RanS = map[string]float64{"req-000001/0": 4}
+		second.Report.Seq, second.RanS = 2, map[string]float64{"req-000001/1": 5}
+		p.Note(first, time.Minute)
+		p.Note(second, time.Minute)
+		in(p, func() {
+			n := p.notes["a"]["i-a000"]
+			if n == nil || len(n.RanS) != 2 {
+				t.Errorf("not put together: %+v", n)
+			}
+		})
+		if len(second.RanS) != 1 {
+			t.Errorf("the sender's map was written to: %v", second.RanS)
+		}
+	})
+}
+
+// A commit that took long, or a process that stood still behind it, launches
+// nothing itself: the job may have been cancelled meanwhile.
+func TestNothingLaunchedLongAfterTheRound(t *testing.T) {
+	placing(t, map[string]int{"a": 1}, func(_ *ledger.Ledger, p *Placer) {
+		launched := func(ago time.Duration) (n int) {
+			c := make(commands, 1)
+			in(p, func() {
+				p.worker = c
+				rec := &ledger.Bind{Name: "i-a000", Addr: "x:1", Session: 1, Token: 10}
+				p.launch(&round{
+					now: time.Now().Add(-ago), rows: map[string]*ledger.Bind{"i-a000": rec},
+					starts: map[string][]wire.Order{"i-a000": {{Op: wire.OpStart, Task: "req-000001/7", Attempt: 10}}},
+				})
+			})
+			synctest.Wait()
+			return len(c)
+		}
+		if launched(time.Second) != 1 || launched(7*time.Second) != 0 {
+			t.Error("launched by the round's age: not as it should be")
+		}
+	})
+}
+
+// commands counts what is sent to workers.
+type commands chan wire.Commands
+
+func (c commands) Do(_ context.Context, _ string, cmd wire.Commands) (*wire.Report, error) {
+	c <- cmd
+	return nil, context.Canceled
+}
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -73,6 +73,7 @@
 	deleting   map[string]bool
 	probing    map[string]bool
 	unanswered map[string]time.Time // when a probe failed last
+	mute       map[string]bool      // machines that answer probes, but let their leases run out
 	deleted    map[string]time.Time
 	listing    bool
 }
@@ -85,7 +86,7 @@
 		view:   ledger.NewRunningView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
 		active: map[string]*ledger.Job{}, runs: place.NewEstimates(), since: map[string]time.Time{}, heard: map[string]time.Time{}, marked: map[string]time.Time{}, errors: map[string]map[string]bool{},
 		refused: map[plan.Pool]time.Time{}, hiring: map[string]plan.Pool{}, deleting: map[string]bool{}, edits: map[string]edit{},
-		probing: map[string]bool{}, unanswered: map[string]time.Time{}, deleted: map[string]time.Time{},
+		probing: map[string]bool{}, unanswered: map[string]time.Time{}, mute: map[string]bool{}, deleted: map[string]time.Time{},
 	}
 	l.Subscribe(func(d ledger.Delta) { r.Send(func() { r.apply(d) }) })
 	r.Every(config.Secs(cfg.Ops.PassS), r.pass)
@@ -102,6 +103,7 @@
 	r.Post(func() {
 		for _, m := range machines {
 			r.heard[m] = now
+			delete(r.mute, m)
 		}
 	})
 }
@@ -140,6 +142,7 @@
 		delete(r.marked, m)
 		delete(r.errors, m)
 		delete(r.unanswered, m)
+		delete(r.mute, m)
 		delete(r.edits, m)
 		r.deleted[m] = now
 		delete(r.refused, plan.Pool{Type: old.Type, Zone: old.Zone, Spot: old.Spot})
@@ -631,7 +634,7 @@
 				r.probe(m, b)
 				lostIn[b.Zone]++
 			}
-			if since > silence*2/3 && !b.Quiet {
+			if (since > silence*2/3 || r.mute[m]) && !b.Quiet {
 				quiet = append(quiet, m)
 			}
 			if since > silence && r.unanswered[m].After(r.heard[m]) {
@@ -725,19 +728,32 @@
 	r.probing[m] = true
 	go func() {
 		rep, err := r.prober.Inspect(r.ctx, b.Addr)
-		r.Send(func() {
-			delete(r.probing, m)
-			if err != nil {
-				r.unanswered[m] = time.Now()
-			}
-			if err == nil && rep.Machine == m {
-				r.heard[m] = time.Now()
-				r.report(rep)
-			}
-		})
+		r.Send(func() { r.probed(m, b.Session, rep, err) })
 	}()
 }
 
+// probed takes what a silent machine said, or didn't. One that answers is not
+// lost, it may just have no way to whom it reports. But if its lease has run out
+// meanwhile, it loses all it is given again and again: from then on its answers
+// don't count, until a report comes from it.
+func (r *Renter) probed(m string, session uint64, rep *wire.Report, err error) {
+	delete(r.probing, m)
+	if err != nil || rep.Machine != m {
+		r.unanswered[m] = time.Now()
+		return
+	}
+	if rep.Session > session && r.view.Binds[m] != nil && !r.mute[m] {
+		slog.Info("machine answers, but its reports reach nobody", "machine", m, "session", rep.Session)
+		r.mute[m] = true
+	}
+	if r.mute[m] {
+		r.unanswered[m] = time.Now()
+	} else {
+		r.heard[m] = time.Now()
+	}
+	r.report(rep)
+}
+
 // edit is what the leader wants written of a machine.
 type edit struct {
 	quiet bool   // ask, through the record, whether anybody hears it
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"lynxledge/internal/actor"
@@ -170,17 +171,15 @@
 }
 
 // Handle takes a report that came as an answer to direct commands: what it
-// proves counts, but nobody waits for orders.
+// proves counts, but nobody waits for orders. It is no sign that the machine's own
+// reports, which alone keep its lease, reach anybody.
 func (r *Reports) Handle(rep *wire.Report) {
 	r.Post(func() {
 		rec := r.view.Binds[rep.Machine]
 		if rec == nil {
 			return
 		}
-		k, news := r.contact(rep)
-		if news && !k.deaf {
-			r.heard[rep.Machine] = true
-		}
+		k, _ := r.contact(rep)
 		proof := place.Reconcile(rec, rep, r.view.Active)
 		r.pass(rep, k, &proof)
 	})
@@ -191,11 +190,18 @@
 
 func (r *Reports) answer(rep *wire.Report, reply func(Reply), again bool) {
 	now := time.Now()
+	rec := r.view.Binds[rep.Machine]
 	if r.refuses(rep.Machine, now.Sub(r.fresh)) {
+		// Refused, but heard: after an outage the leader must not take every
+		// machine for silent.
+		if rec != nil {
+			if k, news := r.contact(rep); news && !k.deaf {
+				r.heard[rep.Machine] = true
+			}
+		}
 		reply(Reply{ReportTo: r.to.Elsewhere()})
 		return
 	}
-	rec := r.view.Binds[rep.Machine]
 	if rec == nil || rep.Token > rec.Token || rep.Session > rec.Session && rec.Session > 0 && again {
 		if again {
 			r.ledger.Refresh(func(err error) {
@@ -244,6 +250,11 @@
 		return
 	}
 	orders := proof.Orders
+	if now.Sub(r.fresh) > place.LaunchAge(r.cfg) {
+		// A job may have been cancelled since. Its tasks that run are kept within
+		// cancel_s by their lease, but none may start any more.
+		orders = slices.DeleteFunc(orders, func(o wire.Order) bool { return o.Op == wire.OpStart })
+	}
 	if orders == nil {
 		orders = []wire.Order{}
 	}
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -239,3 +239,65 @@
 		}
 	})
 }
+
+// A node whose view is behind launches nothing: the job may have been cancelled
+// since, and its user told so. What stops or clears is answered all the same, and
+// the lease is renewed.
+func TestNothingLaunchedOnAnOldView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		b := newBench(ctx, t, &ledger.Bind{Session: 1, Token: 9, Tasks: []ledger.Bound{{Job: "req-000001", Attempt: 8}}}, &ledger.Job{Tasks: 1})
+		left := []wire.TaskReport{{Task: "req-000002/0", Attempt: 1, State: wire.TaskExited, Why: wire.WhyDone}}
+		verbs := func(seq uint64) (out []string) {
+			r := b.ask(wire.Report{Session: 1, Seq: seq, Tasks: left})
+			if !r.Accept {
+				t.Error("refused")
+			}
+			for _, o := range r.Body.Orders {
+				out = append(out, o.Op)
+			}
+			return out
+		}
+		if got := verbs(1); !reflect.DeepEqual(got, []string{wire.OpForget, wire.OpStart}) {
+			t.Errorf("on a fresh view: %v", got)
+		}
+		b.stale(2900 * time.Millisecond)
+		if got := verbs(2); !reflect.DeepEqual(got, []string{wire.OpForget}) {
+			t.Errorf("on a view almost a report old: %v", got)
+		}
+	})
+}
+
+// A machine that only answers what it is asked is not heard: its own reports
+// reach nobody, and its lease runs out.
+func TestAnswersAreNoReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		b := newBench(ctx, t, &ledger.Bind{Session: 1, Token: 9}, &ledger.Job{Tasks: 1})
+		b.reports.Handle(&wire.Report{Machine: "i-1", Addr: "i-1:1", Type: "t", Zone: "z", Session: 1, Seq: 5, Token: 9})
+		if b.heard() {
+			t.Error("an answer to a command passes for a report")
+		}
+		b.ask(wire.Report{Session: 1, Seq: 6, Token: 9})
+		if !b.heard() {
+			t.Error("a report is not heard")
+		}
+	})
+}
+
+// In an outage so long that nobody may renew leases, machines report all the
+// same: the leader must not take them all for silent when it is over.
+func TestRefusedReportsAreHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		b := newBench(ctx, t, &ledger.Bind{Session: 1, Token: 9}, &ledger.Job{Tasks: 1})
+		time.Sleep(100 * time.Millisecond) // the watch repeats what was just committed
+		b.stale(40 * time.Second)
+		if r := b.ask(wire.Report{Session: 1, Seq: 1, Token: 9}); r.Accept || !b.heard() {
+			t.Errorf("accepted %v, heard %v", r.Accept, b.heard())
+		}
+	})
+}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -174,6 +174,15 @@
 	return h.ID
 }
 
+// Hang makes a machine stand still for a while.
+func (c *Cloud) Hang(id string, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h := c.hosts[id]; h != nil && h.worker != nil {
+		h.worker.Hang(d)
+	}
+}
+
 // Bounce restarts a machine at once.
 func (c *Cloud) Bounce(id string) {
 	c.mu.Lock()
@@ -192,6 +201,17 @@
 	}
 }
 
+// Running lists the machines that run.
+func (c *Cloud) Running() []wire.Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []wire.Host
+	for _, id := range c.up() {
+		out = append(out, c.hosts[id].Host)
+	}
+	return out
+}
+
 // Up names the machines that run.
 func (c *Cloud) Up() []string {
 	c.mu.Lock()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -44,6 +44,7 @@
 	changed chan struct{}
 	node    int
 	notice  *float64
+	hung    chan struct{} // closed when the machine goes on; nil while it does
 }
 
 // NewWorker boots a worker.
@@ -71,6 +72,47 @@
 	w.change()
 }
 
+// Hang makes the machine stand still for a while. What reaches it meanwhile is
+// taken when it goes on, and only then it looks at its lease.
+func (w *Worker) Hang(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.hung != nil {
+		return
+	}
+	ch := make(chan struct{})
+	w.hung = ch
+	time.AfterFunc(d, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.hung = nil
+		w.lapse()
+		close(ch)
+	})
+}
+
+// awake waits until the machine goes on.
+func (w *Worker) awake() {
+	w.mu.Lock()
+	ch := w.hung
+	w.mu.Unlock()
+	if ch != nil {
+		select {
+		case <-ch:
+		case <-w.ctx.Done():
+		}
+	}
+}
+
+// lapse ends the session if its lease has; the caller holds the lock.
+func (w *Worker) lapse() {
+	if time.Since(w.renewed) > w.opt.Lease {
+		w.forgetAll()
+		w.session++
+		w.renewed = time.Now()
+	}
+}
+
 // Bounce restarts the machine within no time: nothing on it survives.
 func (w *Worker) Bounce() {
 	w.mu.Lock()
@@ -106,12 +148,9 @@
 // expire ends the session when its lease has.
 func (w *Worker) expire() {
 	for sleep(w.ctx, w.opt.Report/6) {
+		w.awake()
 		w.mu.Lock()
-		if time.Since(w.renewed) > w.opt.Lease {
-			w.forgetAll()
-			w.session++
-			w.renewed = time.Now()
-		}
+		w.lapse()
 		w.mu.Unlock()
 	}
 }
@@ -136,6 +175,7 @@
 
 func (w *Worker) reports() {
 	for {
+		w.awake()
 		w.mu.Lock()
 		rep := w.report()
 		node := w.opt.Nodes[w.node]
@@ -150,6 +190,7 @@
 			return verdict{reply, to, ok}, nil
 		})
 		wait := w.opt.Report
+		w.awake()
 		w.mu.Lock()
 		switch {
 		case err == nil && v.ok:
@@ -225,6 +266,7 @@
 		if !sleep(ctx, w.opt.Fetch) {
 			return
 		}
+		w.awake()
 		w.mu.Lock()
 		if ctx.Err() == nil {
 			t.State, t.started = wire.TaskRunning, true
@@ -235,6 +277,7 @@
 		if forever || !sleep(ctx, run) {
 			return
 		}
+		w.awake()
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if ctx.Err() == nil {
@@ -279,6 +322,7 @@
 		return nil, errors.New("no such machine")
 	}
 	return send(ctx, c.Net, c.Node, w.host.ID, c.Timeout, func() (*wire.Report, error) {
+		w.awake()
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.ctx.Err() != nil {
