--- a/cmd/lynxledge/cluster_test.go
+++ b/cmd/lynxledge/cluster_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -221,6 +222,7 @@
 	"deafen worker", "deafen worker", "bounce", "bounce", "bounce machine",
 	"refuse leader", "refuse leader", "end refusals", "slow state", "late writes", "mute worker", "mute worker", "hang worker", "hang worker",
 	"at end", "odd", "abort all", "bounce leader",
+	"pipeline", "pipeline", "pipeline",
 }
 
 func genActs() *rapid.Generator[[]act] {
@@ -238,6 +240,8 @@
 	switch a.Kind {
 	case "submit", "service":
 		w.submit(a)
+	case "pipeline":
+		w.pipeline(a)
 	case "resubmit":
 		if len(w.known) > 0 {
 			j := w.known[a.A%len(w.known)]
@@ -453,6 +457,47 @@
 	w.ask(http.MethodPost, "/work", j.ID, j)
 }
 
+// pipeline submits jobs that wait for one another, and some for earlier ones, each
+// once those before it are accepted: a chain or a diamond.
+func (w *world) pipeline(a act) {
+	var stages []*wire.Job
+	for i := range 3 + a.A%3 {
+		w.jobs++
+		j := &wire.Job{
+			ID: fmt.Sprintf("req-%06d", w.jobs), Class: "stage", Team: []string{"red", "blue"}[(a.A+i)%2], Shape: wire.ShapeArray,
+			Rank: wire.RankIdle, Tasks: 1 + (a.B+i)%4, CPUs: 1, MemoryGB: 1, Image: "img", ImageGB: 1, Spot: true, EstimateS: 10,
+		}
+		switch {
+		case i > 0 && a.B%2 == 0: // a chain
+			j.Awaits = []string{stages[i-1].ID}
+		case i > 0: // all behind the first, the last behind all
+			j.Awaits = []string{stages[0].ID}
+		}
+		if i == 0 && len(w.known) > 0 && a.B%3 == 0 {
+			if k := w.known[a.A%len(w.known)]; !k.Service() && w.rules.Accepted(k.ID) {
+				j.Awaits = []string{k.ID}
+			}
+		}
+		if i == 2+a.A%3 {
+			due := 90.0
+			j.Rank, j.DeadlineS = wire.RankHigh, &due
+			for _, s := range stages {
+				if !slices.Contains(j.Awaits, s.ID) {
+					j.Awaits = append(j.Awaits, s.ID)
+				}
+			}
+		}
+		w.rules.Submitted(j, time.Duration(2+a.B)*time.Second)
+		w.known = append(w.known, j)
+		w.ask(http.MethodPost, "/work", j.ID, j)
+		if !w.rules.Accepted(j.ID) {
+			return
+		}
+		stages = append(stages, j)
+		w.pass(time.Second)
+	}
+}
+
 // pass lets time go by, watching the rules.
 func (w *world) pass(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -219,12 +219,13 @@
 	return Team{}, false
 }
 
-// Deadlines lists the times from its submission by which a job of a class is
+// Deadlines lists the times from when it may run by which a job of a class is
 // to be done, the earliest first: its own deadline and the multiples of it that
 // aims speak of, the finishing aims of its class and, for a job whose tasks run
 // for runS, the starting aims that a new machine can keep; or the operators'
-// default.
-func (c *Config) Deadlines(class string, own *float64, runS float64) []float64 {
+// default. Its own count from its submission: waitedS is the time from there on
+// that it waited for other jobs.
+func (c *Config) Deadlines(class string, own *float64, runS, waitedS float64) []float64 {
 	var out []float64
 	for _, o := range c.Params.Objectives {
 		switch {
@@ -232,7 +233,7 @@
 		case o.Kind == "finished" && o.WithinS > 0:
 			out = append(out, o.WithinS)
 		case own != nil && o.Kind == "deadline" && o.Times > 1:
-			out = append(out, *own*o.Times)
+			out = append(out, *own*o.Times-waitedS)
 		}
 	}
 	if s, ok := c.MayWait(class); ok {
@@ -240,7 +241,7 @@
 	}
 	switch {
 	case own != nil:
-		out = append(out, *own)
+		out = append(out, *own-waitedS)
 	case len(out) == 0:
 		out = append(out, c.Ops.DefaultDeadlineS)
 	}
@@ -248,6 +249,14 @@
 	return slices.Compact(out)
 }
 
+// Aimed tells whether aims say by when work of a class is to be done.
+func (c *Config) Aimed(class string) bool {
+	_, waits := c.MayWait(class)
+	return waits || slices.ContainsFunc(c.Params.Objectives, func(o Objective) bool {
+		return o.Class == class && o.Kind == "finished" && o.WithinS > 0
+	})
+}
+
 // StartWithin is the time that the aims give tasks of a class to start, and
 // whether an aim says so of the class itself; +Inf if none speaks of it.
 func (c *Config) StartWithin(class string) (s float64, own bool) {
--- a/internal/frontdoor/frontdoor.go
+++ b/internal/frontdoor/frontdoor.go
@@ -257,8 +257,12 @@
 	status, why := http.StatusBadRequest, ""
 	if perr != nil {
 		why = perr.Error()
-	} else {
-		status, why = f.judge(job)
+	} else if status, why = f.judge(job); why == "" && len(job.Awaits) > 0 {
+		var err error
+		if status, why, err = f.predecessors(ctx, job); err != nil {
+			f.relay(ctx, w, r, b)
+			return
+		}
 	}
 	switch {
 	case status == http.StatusServiceUnavailable:
@@ -316,6 +320,28 @@
 	return 0, ""
 }
 
+// predecessors tells why a job can't wait for what it names. That a job was
+// accepted is final: only for one that is not known here the state has to be read.
+func (f *Front) predecessors(ctx context.Context, j *wire.Job) (status int, why string, err error) {
+	for _, id := range j.Awaits {
+		l, ok := f.look(id)
+		if !ok || !l.known {
+			if l, err = f.current(ctx, id); err != nil {
+				return 0, "", err
+			}
+		}
+		switch {
+		case id == j.ID:
+			return http.StatusUnprocessableEntity, "awaits: the job names itself", nil
+		case !l.known:
+			return http.StatusUnprocessableEntity, "awaits: " + id + " was never accepted", nil
+		case l.job.Spec != nil && l.job.Spec.Service():
+			return http.StatusUnprocessableEntity, "awaits: " + id + " is a service, which is never done", nil
+		}
+	}
+	return 0, "", nil
+}
+
 // jobMargin is what a job's record may grow by, in bytes, when it ends.
 const jobMargin = 128
 
@@ -405,12 +431,10 @@
 		if f.lost() {
 			break
 		}
-		next := *l.job
-		next.State, next.EndAt = wire.JobCancelled, time.Now().UnixMilli()
 		key := ledger.Key(ledger.KindJob, id)
 		out, ok := f.commit(ctx, ledger.Commit{
 			Guards:   []wire.Guard{{Key: key, Version: l.job.Stamp}},
-			Puts:     []ledger.Put{{Key: key, Rec: &next}},
+			Puts:     []ledger.Put{{Key: key, Rec: l.job.Cancelled(time.Now().UnixMilli())}},
 			Patience: tryAgain,
 		})
 		if ok && out == ledger.Committed {
--- a/internal/frontdoor/frontdoor_test.go
+++ b/internal/frontdoor/frontdoor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -122,3 +123,42 @@
 		d.ask("GET", "/work/req-000414", "", 404, "")
 	})
 }
+
+// A job may wait for any that was accepted, in whatever state it is, and falls with
+// one that was cancelled. What can't be waited for is refused, or left undecided
+// where the state can't be read.
+func TestJobsThatWaitForOthers(t *testing.T) {
+	open(t, func(d *door) {
+		d.types()
+		after := func(id, awaits string) string {
+			return strings.Replace(with("000412", id), `"legs":2`, `"awaits":`+awaits+`,"legs":2`, 1)
+		}
+		d.ask("POST", "/work", job, 201, wire.JobQueued)
+		d.ask("POST", "/work", after("000413", `["req-000412"]`), 201, wire.JobQueued)
+		d.ask("POST", "/work", after("000414", `["req-000413","req-000412","req-000413"]`), 201, wire.JobQueued)
+		d.ask("POST", "/work", after("000415", `["req-000415"]`), 422, "")
+		d.ask("POST", "/work", after("000415", `["req-000999"]`), 422, "")
+		d.ask("POST", "/work", after("000415", `["nonsense"]`), 400, "")
+		d.ask("POST", "/work", after("000415", `"req-000412"`), 400, "")
+		d.ask("GET", "/work/req-000415", "", 404, "")
+		d.ask("POST", "/work", strings.Replace(with("000412", "000421"), `"shape":"array"`, `"shape":"service"`, 1), 201, wire.JobQueued)
+		d.ask("POST", "/work", after("000415", `["req-000421"]`), 422, "") // never done
+		many, others := make([]string, 700), make([]string, 700)
+		for i := range many {
+			many[i], others[i] = `"req-000412"`, fmt.Sprintf(`"req-1%05d"`, i)
+		}
+		d.ask("POST", "/work", after("000415", "["+strings.Join(others, ",")+"]"), 422, "") // more than a record holds
+		d.ask("POST", "/work", after("000416", "["+strings.Join(many, ",")+"]"), 201, wire.JobQueued) // one, named often
+		d.ask("POST", "/work/req-000412/abort", "", 200, wire.JobCancelled)
+		for _, id := range []string{"000412", "000413", "000414", "000416"} {
+			d.ask("GET", "/work/req-"+id, "", 200, wire.JobCancelled)
+			d.ask("POST", "/work/req-"+id+"/abort", "", 200, wire.JobCancelled)
+		}
+		d.ask("POST", "/work", after("000417", `["req-000414"]`), 201, wire.JobQueued)
+		d.ask("GET", "/work/req-000417", "", 200, wire.JobCancelled)
+		d.state.SetDown(true)
+		time.Sleep(5 * time.Second)
+		d.ask("GET", "/work/req-000413", "", 200, wire.JobCancelled) // final: from memory
+		d.ask("POST", "/work", after("000418", `["req-000999"]`), 503, "")
+	})
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -57,6 +57,7 @@
 	fresh  time.Time
 	loaded bool
 	dead   map[string]uint64 // keys deleted by own commits, until the watch passes them
+	chains *pipelines
 	subs   []func(Delta)
 
 	freshAt    atomic.Pointer[time.Time] // fresh, for those who only look
@@ -67,9 +68,10 @@
 
 // Start runs a ledger. Subscribers must be added before Run.
 func Start(ctx context.Context, store Store, opt Options) *Ledger {
+	view := NewView(opt.ChunkTasks)
 	return &Ledger{
 		Actor: actor.Start(ctx, "ledger", 1024), ctx: ctx, store: store, opt: opt,
-		view: NewView(opt.ChunkTasks), dead: map[string]uint64{},
+		view: view, dead: map[string]uint64{}, chains: newPipelines(view),
 	}
 }
 
@@ -285,15 +287,26 @@
 
 // publish applies what is newer than the view and tells the subscribers.
 func (l *Ledger) publish(chs []Change) {
-	news := chs[:0]
+	news := make([]Change, 0, len(chs)) // a job may change others besides
 	for _, c := range chs {
 		// What the view has already, as an own commit repeated by the watch, is
 		// not told twice: what a record says of ended tasks would count twice.
 		if c.Stamp <= l.view.stamp(c.Kind, c.Name) || c.Stamp < l.dead[c.Key] {
 			continue
 		}
+		j, isJob := c.Rec.(*Job)
+		if isJob {
+			c.Rec = l.chains.derive(c.Name, j)
+		}
 		l.view.Apply(c)
 		news = append(news, c)
+		if isJob {
+			l.chains.spread(c.Name, func(id string, j *Job) {
+				more := Change{Key: Key(KindJob, id), Kind: KindJob, Name: id, Rec: j, Stamp: j.Stamp}
+				l.view.Apply(more)
+				news = append(news, more)
+			})
+		}
 	}
 	fresh := l.fresh
 	l.freshAt.Store(&fresh)
--- /dev/null
+++ b/internal/ledger/pipeline_test.go
@@ -0,0 +1,203 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lynxledge/wire"
+)
+
+// story is what became of jobs that wait for one another, as stored.
+type story struct {
+	ids  []string
+	jobs map[string]*Job
+}
+
+// doomed tells whether a job is cancelled, by its own record or one before it.
+func (s *story) doomed(id string) bool {
+	j := s.jobs[id]
+	if j.State == wire.JobCancelled {
+		return true
+	}
+	for _, before := range j.Spec.Awaits {
+		if s.doomed(before) {
+			return true
+		}
+	}
+	return false
+}
+
+// ready tells whether all jobs before one are done.
+func (s *story) ready(id string) bool {
+	for _, before := range s.jobs[id].Spec.Awaits {
+		if s.jobs[before].State != wire.JobDone {
+			return false
+		}
+	}
+	return true
+}
+
+// rank is the highest of a job and of those that need it and are not over.
+func (s *story) rank(id string) wire.Rank {
+	r := s.jobs[id].Spec.Rank
+	for _, after := range s.ids {
+		for _, before := range s.jobs[after].Spec.Awaits {
+			if before == id && s.jobs[after].State == "" && !s.doomed(after) {
+				r = max(r, s.rank(after))
+			}
+		}
+	}
+	return r
+}
+
+func (s *story) check(t *rapid.T, l *Ledger, ranks bool) {
+	for _, id := range s.ids {
+		stored, got := s.jobs[id], l.view.Jobs[id]
+		switch {
+		case stored.State == wire.JobDone:
+			if got.State != wire.JobDone {
+				t.Fatalf("%s is done, and called %q", id, got.State)
+			}
+		case s.doomed(id):
+			if got.State != wire.JobCancelled || got.EndAt == 0 || got.Derived != (stored.State == "") {
+				t.Fatalf("%s falls with a job before it, and is %+v", id, got)
+			}
+		default:
+			if got.State != "" || got.Blocked == s.ready(id) {
+				t.Fatalf("%s: ready %v, and is %+v", id, s.ready(id), got)
+			}
+			if ranks && got.Spec.Rank != s.rank(id) {
+				t.Fatalf("%s: rank %v, not %v", id, got.Spec.Rank, s.rank(id))
+			}
+			if s.ready(id) {
+				last := int64(0)
+				for _, before := range stored.Spec.Awaits {
+					last = max(last, s.jobs[before].EndAt)
+				}
+				if got.ReadyAt != last {
+					t.Fatalf("%s: ready at %d, not %d", id, got.ReadyAt, last)
+				}
+			}
+		}
+	}
+}
+
+// For any graph, in whatever order its jobs are accepted, done and cancelled, and
+// in whatever order a new process reads them, what is derived is what the stored
+// records say: blocked until all before are done, cancelled with any before.
+func TestPipelinesFollowTheirRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s := &story{jobs: map[string]*Job{}}
+		l := Start(ctx, nil, Options{ChunkTasks: 8})
+		fallen := map[string]bool{}
+		l.Subscribe(func(d Delta) {
+			for _, c := range d.Changes {
+				j := c.Rec.(*Job)
+				if fallen[c.Name] && j.State != wire.JobCancelled {
+					t.Fatalf("%s was cancelled, and is %q", c.Name, j.State)
+				}
+				fallen[c.Name] = j.State == wire.JobCancelled
+			}
+		})
+		rev := uint64(0)
+		put := func(l *Ledger, id string) {
+			j := *s.jobs[id]
+			l.publish([]Change{{Key: Key(KindJob, id), Kind: KindJob, Name: id, Rec: &j, Stamp: j.Stamp}})
+		}
+		step := func(id string, change func(j *Job)) {
+			rev++
+			j := *s.jobs[id]
+			change(&j)
+			j.Stamp = rev
+			s.jobs[id] = &j
+			put(l, id)
+		}
+		cancels := false
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			if len(s.ids) == 0 || rapid.IntRange(0, 2).Draw(t, "what") == 0 {
+				id := fmt.Sprintf("req-%06d", len(s.ids))
+				spec := &wire.Job{ID: id, Rank: wire.Rank(rapid.IntRange(0, 3).Draw(t, "rank")), EstimateS: 1}
+				for _, before := range s.ids {
+					if rapid.IntRange(0, 3).Draw(t, "needs") == 0 {
+						spec.Awaits = append(spec.Awaits, before)
+					}
+				}
+				s.ids = append(s.ids, id)
+				s.jobs[id] = &Job{Spec: spec, Tasks: 1, At: int64(rev)}
+				step(id, func(*Job) {})
+			} else {
+				id := rapid.SampledFrom(s.ids).Draw(t, "job")
+				if s.jobs[id].State != "" {
+					continue
+				}
+				if rapid.Bool().Draw(t, "done") {
+					if s.ready(id) && !s.doomed(id) {
+						step(id, func(j *Job) { j.State, j.EndAt = wire.JobDone, int64(100+rev) })
+					}
+				} else if !s.doomed(id) {
+					cancels = true
+					step(id, func(j *Job) { j.State, j.EndAt = wire.JobCancelled, int64(100+rev) })
+				}
+			}
+			s.check(t, l, !cancels) // a rank may outlive the job that lent it
+		}
+		fresh := Start(ctx, nil, Options{ChunkTasks: 8})
+		for _, i := range rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "order"), 1)).Perm(len(s.ids)) {
+			put(fresh, s.ids[i])
+		}
+		s.check(t, fresh, false)
+		if n := len(l.chains.next); n > len(s.ids) {
+			t.Fatalf("%d jobs in the index", n)
+		}
+	})
+}
+
+// A chain of thousands of jobs costs as much for each as a short one, and falls
+// as a whole with its first; nothing is kept of jobs that are over.
+func TestLongChainAndWideFan(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	const n = 5000
+	l := Start(ctx, nil, Options{ChunkTasks: 8})
+	told := 0
+	l.Subscribe(func(d Delta) { told += len(d.Changes) })
+	id := func(i int) string { return fmt.Sprintf("req-%06d", i) }
+	rev := uint64(0)
+	put := func(i int, j *Job) {
+		rev++
+		j.Tasks, j.Stamp = 1, rev
+		l.publish([]Change{{Key: Key(KindJob, id(i)), Kind: KindJob, Name: id(i), Rec: j, Stamp: j.Stamp}})
+	}
+	for i := range n {
+		spec := &wire.Job{ID: id(i), EstimateS: 1}
+		if i > 0 {
+			spec.Awaits = []string{id(i - 1)}
+		}
+		put(i, &Job{Spec: spec})
+	}
+	for i := range n { // all behind the chain's first
+		put(n+i, &Job{Spec: &wire.Job{ID: id(n + i), Awaits: []string{id(0)}}})
+	}
+	if told != 2*n {
+		t.Errorf("%d changes told for %d jobs", told, 2*n)
+	}
+	told = 0
+	put(0, &Job{State: wire.JobCancelled, EndAt: 9, Spec: &wire.Job{ID: id(0)}})
+	if told != 2*n {
+		t.Errorf("%d changes told for the fall of %d jobs", told, 2*n)
+	}
+	for i := range 2 * n {
+		if l.view.Jobs[id(i)].State != wire.JobCancelled {
+			t.Fatalf("%s stands", id(i))
+		}
+	}
+	if len(l.chains.next)+len(l.chains.in) > 0 {
+		t.Errorf("%d and %d entries are kept", len(l.chains.next), len(l.chains.in))
+	}
+}
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -49,11 +49,40 @@
 	At    int64     `json:"at"`            // time of day of the acceptance, ms
 	EndAt int64     `json:"end,omitempty"` // time of day of the end, ms
 	Stamp uint64    `json:"-"`
+
+	// What follows from other jobs' records, see pipeline.go. It is not stored.
+	Blocked bool    `json:"-"` // not all predecessors are done
+	ReadyAt int64   `json:"-"` // time of day at which the last of them was done, ms
+	Derived bool    `json:"-"` // cancelled because a predecessor is
+	DueAt   int64   `json:"-"` // time of day by which a job that needs this one is due, ms; 0: none
+	TailS   float64 `json:"-"` // expected running time from the end of this one to the end of that one
 }
 
-// Active tells whether tasks of the job may be started.
+// Active tells whether the job is not over: its tasks may be started, or may be
+// once its predecessors are done.
 func (j *Job) Active() bool { return j.State == "" }
 
+// Since is the time of day from which the job could run, ms; while it is blocked,
+// that of its submission.
+func (j *Job) Since() int64 {
+	if j.Blocked {
+		return j.At
+	}
+	return max(j.At, j.ReadyAt)
+}
+
+// Cancelled is the record of the job's cancellation. What only a start would need
+// is left out: the record must fit whatever the limit of a value has become.
+func (j *Job) Cancelled(at int64) *Job {
+	next := &Job{State: wire.JobCancelled, Tasks: j.Tasks, At: j.At, EndAt: at}
+	if j.Spec != nil {
+		spec := *j.Spec
+		spec.Types, spec.Awaits = nil, nil
+		next.Spec = &spec
+	}
+	return next
+}
+
 // Bound is one task bound to a machine.
 type Bound struct {
 	Job     string
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -67,6 +67,7 @@
 	notes  map[string]map[string]*noted // group, machine
 	proved time.Time                    // when somebody last wrote what reports proved
 	ripe   map[string]time.Time         // complete jobs that are not called done yet, since
+	fallen map[string]*ledger.Job       // cancelled with a predecessor, which their own records don't say yet
 
 	busy      bool
 	scheduled bool
@@ -116,7 +117,7 @@
 		types: map[string]*wire.MachineType{}, active: map[string]*ledger.Job{}, runs: NewEstimates(), low: map[string]int{},
 		images: map[string][]image{}, failed: map[string]*failure{}, shaky: map[string]time.Time{},
 		nodes: map[string]*Node{}, pools: map[pool]stock{}, starts: map[string]*Node{}, tally: Tally{},
-		notes: map[string]map[string]*noted{}, ripe: map[string]time.Time{},
+		notes: map[string]map[string]*noted{}, ripe: map[string]time.Time{}, fallen: map[string]*ledger.Job{},
 	}
 	l.Subscribe(func(d ledger.Delta) { p.Send(func() { p.apply(d) }) })
 	p.Every(p.reportS(1.0/6), p.schedule)
@@ -175,7 +176,15 @@
 			job, _, _ := strings.Cut(c.Name, "/")
 			p.ripen(job, now)
 		case ledger.KindJob:
-			if j, _ := c.Rec.(*ledger.Job); j != nil && j.Active() && j.Spec != nil {
+			j, _ := c.Rec.(*ledger.Job)
+			if j != nil && j.Derived {
+				p.fallen[c.Name] = j
+			} else {
+				delete(p.fallen, c.Name)
+			}
+			// A blocked job waits for others: it has no place in the queue, and counts
+			// towards nothing. Only records that say done make it ready.
+			if j != nil && j.Active() && j.Spec != nil && !j.Blocked {
 				p.active[c.Name] = j
 			} else {
 				delete(p.active, c.Name)
@@ -513,9 +522,9 @@
 		}
 		w := waiting{id: id, job: j, hand: mine[j.Spec.Team].Stamp, most: left}
 		run := p.runs.RunS(j.Spec)
-		age := float64(now.UnixMilli()-j.At) / 1000
+		age := float64(now.UnixMilli()-j.Since()) / 1000
 		if age > starved && left == j.Tasks {
-			w.late, w.deadline = -1, float64(j.At)
+			w.late, w.deadline = -1, float64(j.Since())
 			if !j.Spec.Service() {
 				w.most = 1
 			}
@@ -523,7 +532,7 @@
 			continue
 		}
 		w.claim = claimant{work: run * float64(left) / p.slots(j.Spec), run: run}
-		for _, d := range p.cfg.Deadlines(j.Spec.Class, j.Spec.DeadlineS, run) {
+		for _, d := range Deadlines(p.cfg, j, run, age, age) {
 			w.claim.due = append(w.claim.due, d-age)
 		}
 		q = append(q, w)
@@ -623,7 +632,7 @@
 	if r.owed == nil {
 		claims := make([]Claim, 0, len(p.active))
 		for id, j := range p.active {
-			claims = append(claims, Claim{j.Spec, j.At, j.Tasks - p.view.DoneCount(id)})
+			claims = append(claims, Claim{j.Spec, j.Since(), j.Tasks - p.view.DoneCount(id)})
 		}
 		r.owed = Owed(claims, p.team)
 	}
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -21,6 +21,7 @@
 	drafts map[string]*draft
 	folds  map[string]*ledger.DoneChunk // by key
 	ends   map[string]int               // jobs that end: writes that takes
+	falls  map[string]*ledger.Job       // jobs whose cancellation is stored
 	marks  map[string]int               // jobs: tasks marked here
 	jobs   map[string]uint64            // guarded jobs
 	hands  map[string]uint64
@@ -55,7 +56,7 @@
 func (p *Placer) valueBytes(part float64) int { return int(p.cfg.Params.State.ValueKB * 1024 * part) }
 
 func (r *round) ops() int {
-	n := len(r.drafts) + len(r.folds)
+	n := len(r.drafts) + len(r.folds) + len(r.falls)
 	for _, w := range r.ends {
 		n += w
 	}
@@ -75,12 +76,13 @@
 	for _, f := range r.folds {
 		n += 4*len(f.Bits)/3 + ledger.WriteBytes
 	}
-	for range r.ends {
-		n += ledger.WriteBytes
-	}
+	n += ledger.WriteBytes * (len(r.ends) + len(r.falls)*(1+fallBytes/ledger.WriteBytes))
 	return n + ledger.WriteBytes*(len(r.jobs)+len(r.hands))
 }
 
+// fallBytes is the most that the record of a cancelled job takes.
+const fallBytes = 1024
+
 // bodyBytes is the part of a body's limit that a commit may fill.
 const bodyBytes = wire.MaxBody * 9 / 10
 
@@ -111,7 +113,7 @@
 	}
 	r := &round{
 		now: now, limit: limit, drafts: map[string]*draft{}, folds: map[string]*ledger.DoneChunk{}, ends: map[string]int{},
-		marks: map[string]int{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{}, tally: maps.Clone(p.tally),
+		falls: map[string]*ledger.Job{}, marks: map[string]int{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{}, tally: maps.Clone(p.tally),
 		starts: map[string][]wire.Order{}, stops: map[string][]wire.Order{}, rows: map[string]*ledger.Bind{}, judged: map[*Node]bool{},
 	}
 	p.endRipe(r, len(mine) > 0)
@@ -120,6 +122,7 @@
 	for job := range r.marks {
 		p.end(r, job)
 	}
+	p.endFallen(r, len(mine) > 0)
 	r.tries = triesOf(q)
 	for _, w := range q {
 		p.placeJob(r, w)
@@ -155,6 +158,19 @@
 	}
 }
 
+// endFallen stores that jobs are cancelled with a predecessor, a few at a time:
+// everybody derives it, so there is no haste, but what is over for good need not be
+// followed any more.
+func (p *Placer) endFallen(r *round, placing bool) {
+	for id, j := range p.fallen {
+		if !placing || r.ops() >= r.limit/2 || !p.guardable(r) {
+			return
+		}
+		r.falls[id] = j.Cancelled(j.EndAt)
+		r.jobs[id] = j.Stamp
+	}
+}
+
 // end calls a job done once all its tasks are, as far as the commit has room.
 func (p *Placer) end(r *round, job string) {
 	j := p.view.Jobs[job]
@@ -424,7 +440,7 @@
 	// Room comes free all the time: work that may wait a little takes no other's
 	// place before that. Prod does.
 	within, _ := p.cfg.StartWithin(spec.Class)
-	age := r.now.Sub(time.UnixMilli(w.job.At)).Seconds()
+	age := r.now.Sub(time.UnixMilli(w.job.Since())).Seconds()
 	patient := spec.Rank == wire.RankProd || age >= (within-p.cfg.Params.Workers.ReportS/3)/2 || w.hurried()
 	seeks := p.rng.Float64() < r.tries[spec.Rank]
 	sample := avoid(p.candidates(r, spec))
@@ -576,6 +592,9 @@
 		c.Guards = append(c.Guards, wire.Guard{Key: key, Version: d.Stamp})
 		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: d})
 	}
+	for id, rec := range r.falls {
+		c.Puts = append(c.Puts, ledger.Put{Key: ledger.Key(ledger.KindJob, id), Rec: rec})
+	}
 	for job, writes := range r.ends {
 		j := p.view.Jobs[job]
 		c.Puts = append(c.Puts, ledger.Put{Key: ledger.Key(ledger.KindJob, job), Rec: &ledger.Job{
@@ -608,7 +627,7 @@
 	}
 	p.pace.ReserveN(r.now, c.Ops())
 	p.busy = true
-	slog.Debug("round", "writes", c.Ops(), "limit", r.limit, "groups", len(r.drafts), "of", len(p.view.Groups), "folds", len(r.folds), "ends", len(r.ends),
+	slog.Debug("round", "writes", c.Ops(), "limit", r.limit, "groups", len(r.drafts), "of", len(p.view.Groups), "folds", len(r.folds), "ends", len(r.ends), "falls", len(r.falls),
 		"placed", sum(r.placed), "gone", r.gone, "notes_left", len(p.notes))
 	p.ledger.Commit(c, func(out ledger.Outcome) {
 		p.Send(func() {
--- /dev/null
+++ b/internal/place/stage.go
@@ -0,0 +1,85 @@
+package place
+
+import (
+	"math"
+	"slices"
+
+	"lynxledge/internal/config"
+	"lynxledge/internal/ledger"
+)
+
+// Deadlines lists when a job is to be done, in seconds from when it could run, the
+// earliest first. A job that others need is a stage of theirs: it has the part of
+// what is left until their deadline that its running time is of the way there, as
+// the paper splits a workflow's deadline over its stages. nowS and startS are on
+// the same count: now, and when it starts at the earliest.
+func Deadlines(cfg *config.Config, j *ledger.Job, runS, nowS, startS float64) []float64 {
+	spec := j.Spec
+	var out []float64
+	if j.Blocked { // it could run from startS on, and Since is its submission yet
+		out = cfg.Deadlines(spec.Class, spec.DeadlineS, runS, startS)
+		for i := range out {
+			out[i] += startS
+		}
+	} else {
+		out = cfg.Deadlines(spec.Class, spec.DeadlineS, runS, float64(j.Since()-j.At)/1000)
+	}
+	if j.DueAt == 0 {
+		return out
+	}
+	due := float64(j.DueAt-j.Since()) / 1000
+	from := math.Max(nowS, startS)
+	if due > from {
+		due = from + (due-from)*runS/math.Max(runS+j.TailS, 1e-9)
+	}
+	if !cfg.Aimed(spec.Class) && spec.DeadlineS == nil {
+		return []float64{due} // nobody else says when
+	}
+	out = append(out, due)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// ReadyIn tells of blocked jobs in how many seconds they could run, given how long
+// each job that is not blocked will take, and which of those holds them up.
+func ReadyIn(blocked map[string]*ledger.Job, active func(id string) bool, left, runS func(id string) float64) map[string]Held {
+	out := make(map[string]Held, len(blocked))
+	for id := range blocked {
+		for todo := []string{id}; len(todo) > 0; {
+			id := todo[len(todo)-1]
+			if _, known := out[id]; known {
+				todo = todo[:len(todo)-1]
+				continue
+			}
+			h, deeper := Held{}, len(todo)
+			for _, before := range blocked[id].Spec.Awaits {
+				if !active(before) {
+					continue
+				}
+				end, by := 0.0, before
+				if blocked[before] == nil {
+					end = left(before)
+				} else if b, known := out[before]; known {
+					end, by = b.S+runS(before), b.By
+				} else {
+					todo = append(todo, before)
+					continue
+				}
+				if h.By == "" || end > h.S {
+					h = Held{end, by}
+				}
+			}
+			if len(todo) == deeper {
+				out[id] = h
+				todo = todo[:len(todo)-1]
+			}
+		}
+	}
+	return out
+}
+
+// Held says in how many seconds a job could run, and which job keeps it until then.
+type Held struct {
+	S  float64
+	By string
+}
--- /dev/null
+++ b/internal/place/stage_test.go
@@ -0,0 +1,102 @@
+package place
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "lynxledge/internal/seeded"
+
+	"lynxledge/internal/config"
+	"lynxledge/internal/ledger"
+	"lynxledge/wire"
+)
+
+// The deadline of a pipeline's last job is split over the stages before it by
+// their running times, from now on: a stage that is late leaves less for the rest,
+// and none gets more than it leaves.
+func TestDeadlineIsSplitOverStages(t *testing.T) {
+	cfg := &config.Config{Ops: config.DefaultOps()}
+	rapid.Check(t, func(t *rapid.T) {
+		runs := rapid.SliceOfN(rapid.Float64Range(1, 50), 1, 6).Draw(t, "runs")
+		tail := 0.0
+		for _, r := range runs {
+			tail += r
+		}
+		due := rapid.Float64Range(1, 500).Draw(t, "due")
+		now := rapid.Float64Range(0, 400).Draw(t, "now")
+		whole := tail
+		for i, run := range runs {
+			tail -= run
+			j := &ledger.Job{Spec: &wire.Job{Class: "c"}, DueAt: int64(1000 * due), TailS: tail}
+			got := Deadlines(cfg, j, run, now, now)
+			if len(got) != 1 {
+				t.Fatalf("%v", got)
+			}
+			want := due
+			if due > now {
+				want = now + (due-now)*run/(run+tail)
+			}
+			if math.Abs(got[0]-want) > 0.01 || due > now && got[0] > due+0.01 {
+				t.Fatalf("stage %d of %v, %v of %v left: due %v, not %v", i, runs, tail, whole, got[0], want)
+			}
+			now = math.Max(now, got[0])
+		}
+	})
+}
+
+// A blocked job's own deadline counts from its submission, its other times from
+// when it could run.
+func TestTimesOfABlockedJob(t *testing.T) {
+	cfg := &config.Config{Ops: config.DefaultOps()}
+	cfg.Params.Objectives = []config.Objective{{Kind: "finished", Class: "c", WithinS: 100}}
+	due := 60.0
+	j := &ledger.Job{At: 5000, Blocked: true, Spec: &wire.Job{Class: "c", DeadlineS: &due}}
+	if got := Deadlines(cfg, j, 10, 20, 50); len(got) != 2 || got[0] != 60 || got[1] != 150 {
+		t.Errorf("blocked: %v", got)
+	}
+	ready := &ledger.Job{At: 5000, ReadyAt: 45000, Spec: j.Spec} // 40 s later
+	if got := Deadlines(cfg, ready, 10, 5, 5); len(got) != 2 || got[0] != 20 || got[1] != 100 {
+		t.Errorf("ready: %v", got)
+	}
+}
+
+// A blocked job could run when the longest way through what is before it has been
+// gone; whoever is first on that way holds it up. The same jobs are not walked twice.
+func TestReadyIn(t *testing.T) {
+	blocked := map[string]*ledger.Job{}
+	job := func(id string, awaits ...string) { blocked[id] = &ledger.Job{Spec: &wire.Job{ID: id, Awaits: awaits}} }
+	job("b", "a", "x")
+	job("c", "a")
+	job("d", "b", "c")
+	asked := 0
+	left := func(id string) float64 { asked++; return map[string]float64{"a": 10, "x": 3}[id] }
+	run := func(id string) float64 { return map[string]float64{"b": 5, "c": 7}[id] }
+	got := ReadyIn(blocked, func(string) bool { return true }, left, run)
+	for id, want := range map[string]Held{"b": {10, "a"}, "c": {10, "a"}, "d": {17, "a"}} {
+		if got[id] != want {
+			t.Errorf("%s: %+v, want %+v", id, got[id], want)
+		}
+	}
+	// Layers in which each job needs all of the one before.
+	clear(blocked)
+	var above []string
+	for layer := range 40 {
+		var names []string
+		for i := range 12 {
+			names = append(names, fmt.Sprintf("%d-%d", layer, i))
+			if layer > 0 {
+				job(names[i], above...)
+			}
+		}
+		above = names
+	}
+	asked = 0
+	left = func(string) float64 { asked++; return 1 }
+	got = ReadyIn(blocked, func(string) bool { return true }, left, func(string) float64 { return 1 })
+	if got["39-0"].S != 39 || asked > 40*12*12 {
+		t.Errorf("ready in %v, %d looks", got["39-0"].S, asked)
+	}
+}
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -57,6 +57,8 @@
 	fresh   time.Time
 	types   []wire.MachineType
 	active  map[string]*ledger.Job
+	blocked map[string]*ledger.Job
+	missing map[string]string // pipelines by their last job: the stage that makes them late
 	runs    *place.Estimates
 	since   map[string]time.Time
 	heard   map[string]time.Time
@@ -84,7 +86,7 @@
 		Actor: actor.Start(ctx, "renter", 256), ctx: ctx, cfg: cfg, boot: boot, begun: time.Now(), ledger: l, cloud: c, prober: p, report: report,
 		pace:   rate.NewLimiter(rate.Limit(cfg.Params.State.WriteRPS*(1-cfg.Ops.StateShare)), cfg.Params.State.TxnOps),
 		view:   ledger.NewRunningView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
-		active: map[string]*ledger.Job{}, runs: place.NewEstimates(), since: map[string]time.Time{}, heard: map[string]time.Time{}, marked: map[string]time.Time{}, errors: map[string]map[string]bool{},
+		active: map[string]*ledger.Job{}, blocked: map[string]*ledger.Job{}, missing: map[string]string{}, runs: place.NewEstimates(), since: map[string]time.Time{}, heard: map[string]time.Time{}, marked: map[string]time.Time{}, errors: map[string]map[string]bool{},
 		refused: map[plan.Pool]time.Time{}, hiring: map[string]plan.Pool{}, deleting: map[string]bool{}, edits: map[string]edit{},
 		probing: map[string]bool{}, unanswered: map[string]time.Time{}, mute: map[string]bool{}, deleted: map[string]time.Time{},
 	}
@@ -122,11 +124,17 @@
 				r.runs.Learn(g.Gone, r.view.Jobs)
 			}
 		case ledger.KindJob:
-			if j, _ := c.Rec.(*ledger.Job); j != nil && j.Active() && j.Spec != nil {
-				r.active[c.Name] = j
-			} else {
-				delete(r.active, c.Name)
+			j, _ := c.Rec.(*ledger.Job)
+			delete(r.active, c.Name)
+			delete(r.blocked, c.Name)
+			switch {
+			case j == nil || !j.Active() || j.Spec == nil:
 				r.runs.Forget(c.Name)
+				delete(r.missing, c.Name)
+			case j.Blocked:
+				r.blocked[c.Name] = j
+			default:
+				r.active[c.Name] = j
 			}
 		}
 	}
@@ -277,15 +285,15 @@
 			pools[plan.Pool{Type: b.Type, Zone: b.Zone, Spot: b.Spot}] = true
 		}
 	}
-	for id, j := range r.active {
+	add := func(id string, j *ledger.Job, startS float64) {
 		n := r.view.Waits(id, j)
 		if n <= 0 {
-			continue
+			return
 		}
 		// The first deadline that a machine rented now can still keep.
-		age, due := float64(now.UnixMilli()-j.At)/1000, 0.0
+		age, due := float64(now.UnixMilli()-j.Since())/1000, 0.0
 		run := r.runs.RunS(j.Spec)
-		deadlines := r.cfg.Deadlines(j.Spec.Class, j.Spec.DeadlineS, run)
+		deadlines := place.Deadlines(r.cfg, j, run, age, age+startS)
 		for _, d := range deadlines {
 			if due = d - age; ops.BootLagS+run <= due {
 				break
@@ -296,6 +304,17 @@
 			DeadlineS: due, Late: !j.Spec.Service() && ops.BootLagS+run > due, Overdue: age > overdueTimes*deadlines[len(deadlines)-1] && !r.served(j.Spec, pools),
 		})
 	}
+	for id, j := range r.active {
+		add(id, j, 0)
+	}
+	// A stage that is not ready yet has its load in its own window: its machines are
+	// rented when they would be up as it becomes ready, not long before.
+	for id, h := range r.readyIn(now) {
+		r.foresee(id, h, now)
+		if h.S <= ops.BootLagS+ops.PassS {
+			add(id, r.blocked[id], h.S)
+		}
+	}
 	for name, b := range r.view.Binds {
 		m := plan.Machine{
 			Name: name, Pool: plan.Pool{Type: b.Type, Zone: b.Zone, Spot: b.Spot},
@@ -336,6 +355,59 @@
 	return in
 }
 
+// readyIn tells in how many seconds each blocked job could run.
+func (r *Renter) readyIn(now time.Time) map[string]place.Held {
+	if len(r.blocked) == 0 {
+		return nil
+	}
+	run := func(id string) float64 {
+		if j := r.view.Jobs[id]; j != nil && j.Spec != nil {
+			return r.runs.RunS(j.Spec)
+		}
+		return 0
+	}
+	left := func(id string) float64 {
+		j, whole := r.active[id], run(id)
+		if j == nil {
+			return 0
+		}
+		if r.view.Waits(id, j) > 0 {
+			return whole
+		}
+		most := 0.0
+		for n := range r.view.Bound[id] {
+			most = max(most, whole-now.Sub(r.since[wire.TaskName(id, n)]).Seconds())
+		}
+		return most
+	}
+	return place.ReadyIn(r.blocked, r.view.Active, left, run)
+}
+
+// foresee says early that a pipeline will miss its deadline, and which stage makes
+// it: once for each change.
+func (r *Renter) foresee(last string, h place.Held, now time.Time) {
+	j := r.blocked[last]
+	if j.Spec.DeadlineS == nil {
+		return
+	}
+	end := float64(now.UnixMilli()-j.At)/1000 + h.S + r.runs.RunS(j.Spec)
+	late := end - *j.Spec.DeadlineS
+	by := ""
+	if late > 0 {
+		by = h.By
+	}
+	if r.missing[last] == by {
+		return
+	}
+	if by == "" {
+		delete(r.missing, last)
+		slog.Info("pipeline is in time again", "last", last, "class", j.Spec.Class)
+		return
+	}
+	r.missing[last] = by
+	slog.Info("pipeline will miss its deadline", "last", last, "class", j.Spec.Class, "held_up_by", by, "late_s", math.Ceil(late))
+}
+
 // overdueTimes is how many times its last deadline a job may wait for cheap
 // machines before any machine will do.
 const overdueTimes = 4
--- a/wire/job.go
+++ b/wire/job.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"math"
+	"slices"
 	"strings"
 )
 
@@ -83,6 +84,9 @@
 	CheckpointS float64  `json:"waypointS"`
 	SaveS       float64  `json:"stashS"`
 	DeadlineS   *float64 `json:"dueS,omitempty"`
+	// Awaits names the predecessors: jobs that have to be done before any task of
+	// this one starts.
+	Awaits []string `json:"awaits,omitempty"`
 }
 
 // Service tells whether the job's tasks run until it is cancelled.
@@ -111,6 +115,7 @@
 	CheckpointS *float64  `json:"waypointS"`
 	SaveS       *float64  `json:"stashS"`
 	DeadlineS   *float64  `json:"dueS"`
+	Awaits      []string  `json:"awaits"`
 }
 
 // ErrMalformed is wrapped by every error of ParseJob.
@@ -188,6 +193,14 @@
 		}
 		j.Zone = *r.Zone
 	}
+	for _, p := range r.Awaits {
+		if !ValidJobID(p) {
+			return nil, malformed("awaits: %.40q is not of the form req-000412", p)
+		}
+		if !slices.Contains(j.Awaits, p) {
+			j.Awaits = append(j.Awaits, p)
+		}
+	}
 	return j, j.check()
 }
 
