--- a/internal/frontdoor/frontdoor.go
+++ b/internal/frontdoor/frontdoor.go
@@ -379,7 +379,11 @@
 	switch {
 	case ok && out == ledger.Committed:
 		slog.Debug("job accepted", "job", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks, "image", j.Image, "gb", j.ImageGB, "expect_s", j.EstimateS)
-		answer(w, http.StatusCreated, wire.JobStatus{ID: j.ID, State: wire.JobQueued})
+		status := wire.JobStatus{ID: j.ID, State: wire.JobQueued}
+		if l, ok := f.look(j.ID); ok && l.known { // it may name a job that is cancelled
+			status = l.status
+		}
+		answer(w, http.StatusCreated, status)
 	case ok && out == ledger.Conflicted:
 		f.known(ctx, w, r, j.ID, body)
 	default:
