--- a/cmd/lynxledge/cluster_test.go
+++ b/cmd/lynxledge/cluster_test.go
@@ -84,6 +84,7 @@
 	jobs  int
 	known []*wire.Job
 	types []wire.MachineType
+	next  *config.StateNext // limits that controllers started from now on know of
 }
 
 // scale is the size of a cluster.
@@ -156,6 +157,7 @@
 func (w *world) start(name string) {
 	ctx, cancel := context.WithCancel(w.ctx)
 	cfg := *w.cfg
+	cfg.Params.State.Next = w.next
 	cfg.Name, cfg.MeshAddr = name, name+":8081"
 	for _, other := range w.nodes {
 		if other != name {
@@ -666,3 +668,50 @@
 		w.end()
 	})
 }
+
+// Limits of values and transactions fall while controllers are replaced, one by one,
+// by such that know of it: records that the former ones wrote are split in time, no
+// rule is broken, nothing is left behind, and nothing too large is sent.
+func TestLimitsFallAfterAnUpgrade(t *testing.T) {
+	for seed := range uint64(6) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			w := newWorld(ctx, seed, small, func(p *config.Params) { p.Teams = []config.Team{{Name: "red"}, {Name: "blue"}} })
+			s := w.cfg.Params.State
+			w.state.SetLimits(standin.Limits{WriteRPS: s.WriteRPS, ValueKB: s.ValueKB, TxnOps: s.TxnOps})
+			w.pass(5 * time.Second)
+			for i := range 12 {
+				w.array(fmt.Sprintf("req-0000%02d", i), []string{"red", "blue"}[i%2], 30, time.Duration(20+40*(i%3))*time.Second, nil)
+			}
+			w.pass(60 * time.Second)
+			largest := w.state.Largest()
+			w.next = &config.StateNext{WriteRPS: 15, ValueKB: 1, TxnOps: 4}
+			for i, n := range w.nodes {
+				w.crash(n)
+				w.pass(4 * time.Second)
+				w.start(n)
+				w.array(fmt.Sprintf("req-0001%02d", i), "red", 10, 30*time.Second, nil)
+				w.pass(8 * time.Second)
+			}
+			w.state.SetLimits(standin.Limits{WriteRPS: 15, ValueKB: 1, TxnOps: 4})
+			w.bounce(w.leader())
+			for i := range 6 {
+				w.array(fmt.Sprintf("req-0002%02d", i), "blue", 20, 15*time.Second, nil)
+				w.pass(5 * time.Second)
+			}
+			w.cloud.Fail(int(seed), false)
+			w.recover()
+			if largest <= 1024 {
+				t.Errorf("seed %d: the largest record had %d bytes: nothing to split", seed, largest)
+			}
+			for _, b := range append(w.rules.Breaches(), w.state.Breaches()...) {
+				t.Errorf("seed %d: %s", seed, b)
+			}
+			for _, id := range append(w.rules.Open(), w.rules.Missing()...) {
+				t.Errorf("seed %d: never finished: %s", seed, id)
+			}
+			cancel()
+			w.end()
+		})
+	}
+}
--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -119,12 +119,13 @@
 	p, ops := cfg.Params, cfg.Ops
 	report := config.Secs(p.Workers.ReportS)
 	chunk := ledger.ChunkTasks(p.State.ValueKB)
+	cfg.Rates = &config.Rates{}
 	slog.Info("starting", "member", cfg.Name, "zone", cfg.Zone, "boot", boot)
 
 	led := ledger.Start(ctx, to.state, ledger.Options{
 		ChunkTasks: chunk, Hold: 5 * report, Gap: readPause(cfg, watchShare), Refresh: readPause(cfg, refreshShare),
 		MaxAge: report / 2, Backoff: report / 30, WritePause: config.Secs(1 / p.State.WriteRPS),
-		MaxValue: int(p.State.ValueKB * 1024),
+		MaxValue: p.State.ValueBytes(), MaxChunk: int(p.State.ValueKB * 1024), Busy: cfg.Rates.Busy, TooLarge: cfg.Rates.Lower,
 	})
 	msh := mesh.Start(ctx, cfg, to.peers, led.Fresh)
 	var placer *place.Placer
@@ -141,7 +142,7 @@
 	msh.OnNote(func(n place.Note) { placer.Note(n, 0) })
 	election.Start(ctx, to.state, led, election.Options{
 		Name: cfg.Name, Boot: boot, TTL: time.Duration(float64(report) * ops.MemberLease),
-		Teams: teams(p.Teams), MaxOps: p.State.TxnOps, Chunk: chunk,
+		Teams: teams(p.Teams), MaxOps: p.State.Ops(), Chunk: chunk,
 	})
 	catalog := cloud.NewCatalog(ctx, to.cloud)
 	catalog.Subscribe(front.SetTypes)
--- a/internal/frontdoor/frontdoor.go
+++ b/internal/frontdoor/frontdoor.go
@@ -80,8 +80,13 @@
 const acceptShare = 1.2
 
 func newPace(cfg *config.Config) *rate.Limiter {
-	each := cfg.Params.State.WriteRPS * acceptShare / float64(len(cfg.Peers)+1)
-	return rate.NewLimiter(rate.Limit(each), 1+int(2*each))
+	each := acceptRate(cfg)
+	return rate.NewLimiter(each, 1+int(2*each))
+}
+
+// acceptRate is this controller's part.
+func acceptRate(cfg *config.Config) rate.Limit {
+	return rate.Limit(cfg.WriteRPS() * acceptShare / float64(len(cfg.Peers)+1))
 }
 
 // SetTypes tells the front of the machine types.
@@ -307,7 +312,7 @@
 	if !Fits(j, types) {
 		return http.StatusUnprocessableEntity, "a task fits no allowed machine type"
 	}
-	if raw, err := json.Marshal(&ledger.Job{Spec: j}); err != nil || len(raw)+jobMargin > int(f.cfg.Params.State.ValueKB*1024) {
+	if raw, err := json.Marshal(&ledger.Job{Spec: j}); err != nil || len(raw)+jobMargin > f.cfg.Params.State.ValueBytes() {
 		return http.StatusUnprocessableEntity, "the description is too long for the state service"
 	}
 	n := 1.0
@@ -366,6 +371,7 @@
 	key := ledger.Key(ledger.KindJob, j.ID)
 	// A crowd of users must not take all the writes: who comes too early is told
 	// when to come back.
+	f.pace.SetLimit(acceptRate(f.cfg))
 	if !f.pace.Allow() {
 		w.Header().Set("Retry-After", "1")
 		refuse(w, http.StatusTooManyRequests, "too many submissions at once")
--- a/internal/frontdoor/frontdoor_test.go
+++ b/internal/frontdoor/frontdoor_test.go
@@ -147,7 +147,7 @@
 		for i := range many {
 			many[i], others[i] = `"req-000412"`, fmt.Sprintf(`"req-1%05d"`, i)
 		}
-		d.ask("POST", "/work", after("000415", "["+strings.Join(others, ",")+"]"), 422, "") // more than a record holds
+		d.ask("POST", "/work", after("000415", "["+strings.Join(others, ",")+"]"), 422, "")           // more than a record holds
 		d.ask("POST", "/work", after("000416", "["+strings.Join(many, ",")+"]"), 201, wire.JobQueued) // one, named often
 		d.ask("POST", "/work/req-000412/abort", "", 200, wire.JobCancelled)
 		for _, id := range []string{"000412", "000413", "000414", "000416"} {
--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -231,6 +231,57 @@
 	d.At = min(d.At, o.At)
 }
 
+// Split moves what doesn't fit into new groups, which take over machines and marks as
+// they are, as one group takes over another's in a merge. None is larger than fill
+// bytes, unless one machine is. The names can't have been used before: they hold the
+// revision of the record that they come from, and a machine that only it had then.
+func (d *Draft) Split(fill int) []*Draft {
+	all, marks, from := d.Binds, d.Marks, d.Name
+	if len(all) > 0 {
+		from = all[0].Name
+	}
+	empty := groupBytes + len(d.Type) + len(d.Zone)
+	d.Binds, d.Marks = nil, map[string][]int{}
+	groups, sizes := []*Draft{d}, []int{empty}
+	first := func(more int) *Draft { // the first with room
+		for i, size := range sizes {
+			if size+more <= fill || size == empty {
+				sizes[i] += more
+				return groups[i]
+			}
+		}
+		name := fmt.Sprintf("%s%d.%d.%s", splitPrefix, d.Stamp, len(groups), from)
+		groups = append(groups, &Draft{
+			Group: Group{Name: name, Type: d.Type, Zone: d.Zone, Spot: d.Spot, At: d.At, Marks: map[string][]int{}}, term: d.term, fresh: map[string]*Bind{},
+		})
+		sizes = append(sizes, empty+more)
+		return groups[len(groups)-1]
+	}
+	whole := Group{Binds: all, same: d.same}
+	for i, row := range whole.rows(common(all)) {
+		more := len(row) + 3
+		if all[i].Addr == "" {
+			more += addrBytes
+		}
+		into := first(more)
+		b := *all[i]
+		b.row = "" // leaves out what the other group's rows had in common
+		into.Binds = append(into.Binds, &b)
+	}
+	for job, ns := range marks {
+		for some := range slices.Chunk(ns, marksTogether) {
+			into := first(len(job) + 8 + len(encodeMarks(some)))
+			into.Marks[job] = append(into.Marks[job], some...)
+		}
+	}
+	return groups[1:]
+}
+
+const (
+	splitPrefix   = "s."
+	marksTogether = 32 // of a job go to one group
+)
+
 // Mark notes a completed task.
 func (d *Draft) Mark(job string, n int) {
 	ns := d.Marks[job]
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -36,13 +36,16 @@
 // Options set the ledger's pace.
 type Options struct {
 	ChunkTasks int
-	Hold       time.Duration // of the long watch
-	Gap        time.Duration // least time between two watches: batches changes
-	Refresh    time.Duration // least time between two refreshes
-	MaxAge     time.Duration // a view older than this is refreshed unasked
-	Backoff    time.Duration // first pause after a failure
-	WritePause time.Duration // of the state service's rate, for one write
-	MaxValue   int           // bytes of a value; more is never sent. 0: no limit
+	Hold       time.Duration   // of the long watch
+	Gap        time.Duration   // least time between two watches: batches changes
+	Refresh    time.Duration   // least time between two refreshes
+	MaxAge     time.Duration   // a view older than this is refreshed unasked
+	Backoff    time.Duration   // first pause after a failure
+	WritePause time.Duration   // of the state service's rate, for one write
+	MaxValue   int             // bytes of a value; more is never sent. 0: no limit
+	MaxChunk   int             // of a done set's chunk, until the service refuses it
+	Busy       func(time.Time) // is told of writes refused for their rate
+	TooLarge   func()          // is told of a size that is refused
 }
 
 // Ledger is the actor that owns the watched view.
@@ -202,6 +205,7 @@
 				chs = append(chs, c)
 			}
 		}
+		l.order(chs)
 		chs = append(jobs, chs...) // what is bound or done needs its job
 		for _, c := range l.view.changes() {
 			if _, there := items[c.Key]; !there && c.Stamp <= epoch {
@@ -259,17 +263,7 @@
 			chs = append(chs, c)
 		}
 	}
-	// A group that takes over another's machines comes before the other's end, or
-	// they would seem to be gone in between.
-	slices.SortStableFunc(chs, func(a, b Change) int {
-		if a.Stamp != b.Stamp || (a.Rec == nil) == (b.Rec == nil) {
-			return cmp.Compare(a.Stamp, b.Stamp)
-		}
-		if a.Rec != nil {
-			return -1
-		}
-		return 1
-	})
+	l.order(chs)
 	l.epoch = max(l.epoch, ev.Revision)
 	if begun.After(l.fresh) {
 		l.fresh = begun
@@ -285,6 +279,23 @@
 	}
 }
 
+// order has a group that takes over another's machines, in a merge or a split, come
+// before the other's new record or its end, or they would seem to be gone in between.
+func (l *Ledger) order(chs []Change) {
+	rank := func(c *Change) int {
+		switch {
+		case c.Rec == nil:
+			return 2
+		case c.Kind == KindBind && l.view.Groups[c.Name] == nil:
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(chs, func(a, b Change) int {
+		return cmp.Or(cmp.Compare(a.Stamp, b.Stamp), cmp.Compare(rank(&a), rank(&b)))
+	})
+}
+
 // publish applies what is newer than the view and tells the subscribers.
 func (l *Ledger) publish(chs []Change) {
 	news := make([]Change, 0, len(chs)) // a job may change others besides
@@ -408,7 +419,11 @@
 			l.Send(func() { reply(Refused) })
 			return
 		}
-		if l.opt.MaxValue > 0 && len(raw) > l.opt.MaxValue {
+		limit := l.opt.MaxValue
+		if strings.HasPrefix(p.Key, Key(KindDone, "")) {
+			limit = max(limit, l.opt.MaxChunk)
+		}
+		if limit > 0 && len(raw) > limit {
 			slog.Error("record too large; nothing is written", "key", p.Key, "bytes", len(raw))
 			l.Send(func() { reply(Refused) })
 			return
@@ -463,6 +478,9 @@
 		case errors.Is(err, state.ErrNoLease), errors.Is(err, state.ErrInvalid):
 			if errors.Is(err, state.ErrInvalid) {
 				slog.Error("commit refused", "err", err, "writes", len(txn.Writes))
+				if l.opt.TooLarge != nil {
+					l.opt.TooLarge()
+				}
 			}
 			l.Send(func() { reply(Refused) })
 			return
@@ -484,6 +502,9 @@
 			return
 		}
 		if errors.Is(err, state.ErrBusy) {
+			if l.opt.Busy != nil {
+				l.opt.Busy(time.Now())
+			}
 			// The service counts by the second: there is room for this before long,
 			// and whoever waits for it holds up all that comes behind.
 			l.sleep(time.Duration(len(txn.Writes)) * l.opt.WritePause)
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -36,9 +36,22 @@
 	TermKey   = Root + KindTerm
 )
 
-// DoneKey names a chunk of a job's done set.
-func DoneKey(job string, chunk int) string {
-	return fmt.Sprintf("%s%s/%s/%04d", Root, KindDone, job, chunk)
+// ChunkID names a record of a job's done set: a chunk as a whole, whose bits count
+// from its first task, or a part of one, whose bits count from a task in it. Chunks are
+// numbered by the size that values had when the cluster began, which every version
+// shares; parts are for limits under which a whole one doesn't fit. A version that
+// doesn't know parts leaves them alone.
+type ChunkID struct{ Chunk, From int }
+
+// Whole is the From of a whole chunk.
+const Whole = -1
+
+// DoneKey names a record of a job's done set.
+func DoneKey(job string, id ChunkID) string {
+	if id.From == Whole {
+		return fmt.Sprintf("%s%s/%s/%04d", Root, KindDone, job, id.Chunk)
+	}
+	return fmt.Sprintf("%s%s/%s/%04d.%d", Root, KindDone, job, id.Chunk, id.From)
 }
 
 // Job is an accepted job. It is rewritten only when it ends.
@@ -170,6 +183,15 @@
 	return d != nil && i/8 < len(d.Bits) && d.Bits[i/8]&(1<<(i%8)) != 0
 }
 
+// ValueBytes is the size of the value that holds a number of bits.
+func ValueBytes(bits int) int { return base64.StdEncoding.EncodedLen((bits+7)/8) + 2 }
+
+// PartTasks is how many tasks the value of a done set's record can hold.
+func PartTasks(valueBytes int) int { return (valueBytes - 2) / 4 * 3 * 8 }
+
+// Tasks is how many tasks the record reaches to.
+func (d *DoneChunk) Tasks() int { return 8 * len(d.Bits) }
+
 // With returns a copy with bits set.
 func (d *DoneChunk) With(bits ...int) *DoneChunk {
 	n := &DoneChunk{}
@@ -200,11 +222,16 @@
 	return kind, name, true
 }
 
-// splitDone takes the name of a done chunk apart.
-func splitDone(name string) (job string, chunk int, ok bool) {
+// splitDone takes the name of a done set's record apart.
+func splitDone(name string) (job string, id ChunkID, ok bool) {
 	job, num, found := strings.Cut(name, "/")
+	num, from, part := strings.Cut(num, ".")
 	chunk, err := strconv.Atoi(num)
-	return job, chunk, found && err == nil && chunk >= 0
+	id = ChunkID{chunk, Whole}
+	if part && err == nil {
+		id.From, err = strconv.Atoi(from)
+	}
+	return job, id, found && err == nil && chunk >= 0 && (!part || id.From >= 0)
 }
 
 func decodeAs[T any](raw json.RawMessage, stamp func(*T)) (any, error) {
--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -16,7 +16,7 @@
 // applies the ledger's deltas to it.
 type View struct {
 	Jobs    map[string]*Job
-	Chunks  map[string]map[int]*DoneChunk // stored done sets
+	Chunks  map[string]map[ChunkID]*DoneChunk // stored done sets
 	Groups  map[string]*Group
 	Binds   map[string]*Bind          // by machine
 	Bound   map[string]map[int]string // job, task: the machine it is bound to
@@ -49,7 +49,7 @@
 // of a done set.
 func NewView(chunkTasks int) *View {
 	return &View{
-		Jobs: map[string]*Job{}, Chunks: map[string]map[int]*DoneChunk{}, Groups: map[string]*Group{}, Binds: map[string]*Bind{},
+		Jobs: map[string]*Job{}, Chunks: map[string]map[ChunkID]*DoneChunk{}, Groups: map[string]*Group{}, Binds: map[string]*Bind{},
 		Bound: map[string]map[int]string{}, Hands: map[string]*Hand{}, Members: map[string]*Member{},
 		Rents: map[string]*Rent{}, done: map[string]*done{}, chunkTasks: chunkTasks,
 	}
@@ -146,13 +146,13 @@
 		return
 	}
 	if v.Chunks[job] == nil {
-		v.Chunks[job] = map[int]*DoneChunk{}
+		v.Chunks[job] = map[ChunkID]*DoneChunk{}
 	}
 	v.Chunks[job][chunk] = rec
 	if d := v.doneOf(job); d != nil {
 		for i := range 8 * len(rec.Bits) {
 			if rec.Has(i) {
-				d.add(chunk*v.chunkTasks + i)
+				d.add(chunk.Chunk*v.chunkTasks + max(0, chunk.From) + i)
 			}
 		}
 	}
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -64,10 +64,12 @@
 	starts map[string]*Node // machines that are coming up
 	tally  Tally
 
-	notes  map[string]map[string]*noted // group, machine
-	proved time.Time                    // when somebody last wrote what reports proved
-	ripe   map[string]time.Time         // complete jobs that are not called done yet, since
-	fallen map[string]*ledger.Job       // cancelled with a predecessor, which their own records don't say yet
+	notes   map[string]map[string]*noted // group, machine
+	proved  time.Time                    // when somebody last wrote what reports proved
+	ripe    map[string]time.Time         // complete jobs that are not called done yet, since
+	large   map[string]bool              // groups whose records can hardly be written, or not at all
+	crowded map[string]bool              // groups whose records are full before their machines are
+	fallen  map[string]*ledger.Job       // cancelled with a predecessor, which their own records don't say yet
 
 	busy      bool
 	scheduled bool
@@ -112,12 +114,12 @@
 	p := &Placer{
 		Actor: actor.Start(ctx, "placer", 512), ctx: ctx, cfg: cfg, boot: boot, ledger: l, worker: w,
 		report: report, rng: rand.New(rand.NewPCG(boot, 1)),
-		pace:  rate.NewLimiter(rate.Limit(s.WriteRPS*cfg.Ops.StateShare), s.TxnOps),
+		pace:  rate.NewLimiter(rate.Limit(s.WriteRPS*cfg.Ops.StateShare), s.Ops()),
 		view:  ledger.NewRunningView(ledger.ChunkTasks(s.ValueKB)),
 		types: map[string]*wire.MachineType{}, active: map[string]*ledger.Job{}, runs: NewEstimates(), low: map[string]int{},
 		images: map[string][]image{}, failed: map[string]*failure{}, shaky: map[string]time.Time{},
 		nodes: map[string]*Node{}, pools: map[pool]stock{}, starts: map[string]*Node{}, tally: Tally{},
-		notes: map[string]map[string]*noted{}, ripe: map[string]time.Time{}, fallen: map[string]*ledger.Job{},
+		notes: map[string]map[string]*noted{}, ripe: map[string]time.Time{}, large: map[string]bool{}, crowded: map[string]bool{}, fallen: map[string]*ledger.Job{},
 	}
 	l.Subscribe(func(d ledger.Delta) { p.Send(func() { p.apply(d) }) })
 	p.Every(p.reportS(1.0/6), p.schedule)
@@ -163,6 +165,9 @@
 			}
 			if g, _ := c.Rec.(*ledger.Group); g != nil {
 				p.left(g, now)
+				if delete(p.large, c.Name); g.Kept() > p.valueBytes(splitFrom) {
+					p.large[c.Name] = true
+				}
 				if len(g.Gone) > 0 {
 					p.proved = now
 				}
@@ -171,6 +176,8 @@
 				}
 			} else {
 				delete(p.notes, c.Name)
+				delete(p.large, c.Name)
+				delete(p.crowded, c.Name)
 			}
 		case ledger.KindDone:
 			job, _, _ := strings.Cut(c.Name, "/")
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -4,10 +4,13 @@
 	"cmp"
 	"log/slog"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"lynxledge/internal/config"
 	"lynxledge/internal/ledger"
 	"lynxledge/wire"
@@ -21,6 +24,7 @@
 	drafts map[string]*draft
 	folds  map[string]*ledger.DoneChunk // by key
 	ends   map[string]int               // jobs that end: writes that takes
+	parts  map[string]int               // groups to split: new records at most
 	falls  map[string]*ledger.Job       // jobs whose cancellation is stored
 	marks  map[string]int               // jobs: tasks marked here
 	jobs   map[string]uint64            // guarded jobs
@@ -51,12 +55,19 @@
 	recordFill = 0.85
 	foldFill   = 0.7
 	mergeFill  = 0.6 // groups are merged up to here
+	splitFrom  = 0.9 // a record beyond is split,
+	splitFill  = 0.7 // into some that fill so much
 )
 
-func (p *Placer) valueBytes(part float64) int { return int(p.cfg.Params.State.ValueKB * 1024 * part) }
+func (p *Placer) valueBytes(part float64) int {
+	return int(float64(p.cfg.Params.State.ValueBytes()) * part)
+}
 
 func (r *round) ops() int {
 	n := len(r.drafts) + len(r.folds) + len(r.falls)
+	for _, parts := range r.parts {
+		n += parts
+	}
 	for _, w := range r.ends {
 		n += w
 	}
@@ -87,8 +98,12 @@
 const bodyBytes = wire.MaxBody * 9 / 10
 
 // guardable tells whether more jobs can be guarded: a transaction may have four
-// guards for each write, and each group and fold needs its own.
-func (p *Placer) guardable(r *round) bool { return len(r.jobs) < 2*p.cfg.Params.State.TxnOps }
+// guards for each write; each write needs one of its own, and so may every team's hand
+// record.
+func (p *Placer) guardable(r *round) bool {
+	ops := p.cfg.Params.State.Ops()
+	return len(r.jobs) < min(2*ops, 3*ops-len(p.view.Hands))
+}
 
 // round takes what has come together and makes one commit of it.
 func (p *Placer) round() {
@@ -97,7 +112,8 @@
 		return
 	}
 	mine := p.mine()
-	limit := p.cfg.Params.State.TxnOps
+	limit := p.cfg.Params.State.Ops()
+	p.pace.SetLimit(rate.Limit(p.cfg.WriteRPS() * p.cfg.Ops.StateShare))
 	if ready := int(p.pace.TokensAt(now)); ready < limit {
 		// Full transactions cost less than many small ones; what waits longest
 		// waits no longer for it, since writes are what is short.
@@ -107,15 +123,20 @@
 		}
 		limit = ready
 	}
+	if most := p.cfg.Params.State.Ops(); limit < most && len(p.large) > 0 && p.placesAll() {
+		p.After(time.Duration(float64(most-limit)/float64(p.pace.Limit())*float64(time.Second)), p.schedule) // a split takes a whole one
+		return
+	}
 	if limit < 2 {
 		p.After(time.Duration(2/float64(p.pace.Limit())*float64(time.Second)), p.schedule)
 		return
 	}
 	r := &round{
 		now: now, limit: limit, drafts: map[string]*draft{}, folds: map[string]*ledger.DoneChunk{}, ends: map[string]int{},
-		falls: map[string]*ledger.Job{}, marks: map[string]int{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{}, tally: maps.Clone(p.tally),
+		parts: map[string]int{}, falls: map[string]*ledger.Job{}, marks: map[string]int{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{}, tally: maps.Clone(p.tally),
 		starts: map[string][]wire.Order{}, stops: map[string][]wire.Order{}, rows: map[string]*ledger.Bind{}, judged: map[*Node]bool{},
 	}
+	p.openLarge(r)
 	p.endRipe(r, len(mine) > 0)
 	q := p.queue(mine, now)
 	p.takeNotes(r, len(mine) > 0, len(q) > 0)
@@ -178,7 +199,7 @@
 		return
 	}
 	chunks := len(p.view.Chunks[job])
-	if r.ops()+1+min(chunks, p.cfg.Params.State.TxnOps/2) > r.limit || !p.guardable(r) {
+	if r.ops()+1+min(chunks, p.cfg.Params.State.Ops()/2) > r.limit || !p.guardable(r) {
 		return
 	}
 	r.ends[job] = 1 + min(chunks, r.limit-r.ops()-1)
@@ -254,12 +275,78 @@
 	}
 }
 
+// placesAll tells whether all teams are handed to this process. Only then it moves
+// machines from one record to another: a later hand record makes the guards fail, so
+// that no other may miss what is bound to a machine on its way.
+func (p *Placer) placesAll() bool {
+	hands := len(p.view.Hands)
+	return hands > 0 && hands <= p.cfg.Params.State.Ops() && len(p.mine()) == hands
+}
+
+// openLarge takes groups into the round whose records are, or may become, too large
+// to be written: by what they hold, or since the limit of a value has fallen.
+func (p *Placer) openLarge(r *round) {
+	if len(p.large) == 0 || !p.placesAll() {
+		return
+	}
+	for _, groups := range []map[string]bool{p.large, p.crowded} {
+		for group := range groups {
+			g := p.view.Groups[group]
+			if g == nil || len(g.Binds)+len(g.Marks) < 2 {
+				delete(groups, group)
+				continue
+			}
+			if r.drafts[group] != nil {
+				continue
+			}
+			parts := min(int(math.Ceil(float64(g.Kept())/float64(p.valueBytes(splitFill)))), p.cfg.Params.State.Ops()-1)
+			if r.ops()+1+parts > r.limit {
+				return // in a round that has room for it
+			}
+			r.parts[group] = parts
+			if p.open(r, group) == nil {
+				delete(r.parts, group)
+			}
+		}
+	}
+}
+
+// split makes records that are too large several, as evenly as the round's writes
+// allow; false if they don't.
+func (p *Placer) split(r *round, c *ledger.Commit) bool {
+	for group, most := range r.parts {
+		d := r.drafts[group]
+		var parts []*ledger.Draft
+		for fill := splitFill; ; fill += 0.1 {
+			whole := *d.Draft
+			if parts = whole.Split(p.valueBytes(min(fill, 1))); len(parts) <= most {
+				d.Draft = &whole
+				break
+			}
+			if fill >= 1 {
+				slog.Error("record can't be split; nothing is written", "group", group, "bytes", d.Kept())
+				delete(p.large, group)
+				return false
+			}
+		}
+		for _, part := range parts {
+			slog.Debug("group split", "group", group, "into", part.Name, "machines", len(part.Binds))
+			part.AddTo(c) // before the record that it comes from
+		}
+		for team, h := range p.view.Hands {
+			r.hands[team] = h.Stamp
+		}
+		delete(p.crowded, group)
+	}
+	return true
+}
+
 // open makes a group's next record part of the round; nil when it is full.
 func (p *Placer) open(r *round, group string) *draft {
 	if d := r.drafts[group]; d != nil {
 		return d
 	}
-	if r.full() || p.view.Groups[group] == nil {
+	if r.full() || p.view.Groups[group] == nil || r.parts[group] == 0 && p.large[group] && p.view.Groups[group].Kept() > p.valueBytes(1) {
 		return nil
 	}
 	d := &draft{Draft: p.view.Draft(group)}
@@ -329,6 +416,9 @@
 // write, and left out where there is no room. Counted, a group in which many
 // tasks ended at once took all writes of a round to fold marks.
 func (p *Placer) fold(r *round, d *draft) {
+	if r.parts[d.Name] > 0 {
+		return // there is room for the marks elsewhere
+	}
 	for d.Kept() > p.valueBytes(foldFill) && r.ops() < r.limit && p.guardable(r) {
 		most := ""
 		for job, ns := range d.Marks {
@@ -339,19 +429,20 @@
 		if most == "" {
 			return
 		}
-		chunk, _ := p.view.Chunk(d.Marks[most][0])
+		id := p.recordOf(r, most, d.Marks[most][0])
 		var bits, rest []int
 		for _, n := range d.Marks[most] {
-			if c, bit := p.view.Chunk(n); c == chunk {
-				bits = append(bits, bit)
+			if p.recordOf(r, most, n) == id {
+				_, bit := p.view.Chunk(n)
+				bits = append(bits, bit-max(0, id.From))
 			} else {
 				rest = append(rest, n)
 			}
 		}
-		key := ledger.DoneKey(most, chunk)
+		key := ledger.DoneKey(most, id)
 		set := r.folds[key]
 		if set == nil {
-			set = p.view.Chunks[most][chunk]
+			set = p.view.Chunks[most][id]
 		}
 		r.folds[key] = set.With(bits...)
 		r.jobs[most] = p.view.Jobs[most].Stamp
@@ -361,6 +452,28 @@
 	}
 }
 
+// recordOf is the record of a job's done set that takes a task. A whole chunk takes
+// what fits into it under the service's limit. While nothing says that the limit has
+// fallen it takes everything, since a version that doesn't know parts may serve.
+func (p *Placer) recordOf(r *round, job string, task int) ledger.ChunkID {
+	chunk, bit := p.view.Chunk(task)
+	id := ledger.ChunkID{Chunk: chunk, From: ledger.Whole}
+	if !p.cfg.Rates.Lowered() {
+		return id
+	}
+	reach := bit + 1
+	if set := r.folds[ledger.DoneKey(job, id)]; set != nil {
+		reach = max(reach, set.Tasks())
+	} else if set := p.view.Chunks[job][id]; set != nil {
+		reach = max(reach, set.Tasks())
+	}
+	if limit := p.valueBytes(1); ledger.ValueBytes(reach) > limit {
+		part := ledger.PartTasks(limit)
+		id.From = bit / part * part
+	}
+	return id
+}
+
 // candidates are nodes to choose among for a job: those of groups that are
 // written anyhow and, while the round has room, a sample of all.
 func (p *Placer) candidates(r *round, j *wire.Job) []*Node {
@@ -537,6 +650,9 @@
 	}
 	if d.size+ledger.TaskBytes(w.id) > p.valueBytes(recordFill) || r.bytes() > bodyBytes {
 		node.Open = false // in this round
+		if len(d.Binds) > 1 && d.Kept() > p.valueBytes(splitFill) {
+			p.crowded[d.Name] = true // full before its machines are
+		}
 		slog.Debug("record is full", "group", node.Group)
 		return false
 	}
@@ -581,6 +697,16 @@
 // commit makes the round's changes, if there are any.
 func (p *Placer) commit(r *round) {
 	c := ledger.Commit{Settle: true, Patience: p.reportS(0.5)}
+	var touched []string
+	for _, d := range r.drafts {
+		for _, b := range d.Binds {
+			touched = append(touched, b.Name)
+		}
+	}
+	if !p.split(r, &c) {
+		p.undo(touched)
+		return
+	}
 	p.merge(r, &c)
 	for team, stamp := range r.hands {
 		c.Guards = append(c.Guards, wire.Guard{Key: ledger.Key(ledger.KindHand, team), Version: stamp})
@@ -607,14 +733,10 @@
 			}
 		}
 	}
-	var touched []string
 	for _, d := range r.drafts {
 		for job := range r.ends {
 			delete(d.Marks, job)
 		}
-		for _, b := range d.Binds {
-			touched = append(touched, b.Name)
-		}
 		if !d.Fit(p.valueBytes(1)) {
 			slog.Error("record too large; nothing is written", "group", d.Name, "bytes", d.Size(), "machines", len(d.Binds))
 			p.undo(touched)
@@ -651,8 +773,7 @@
 // record makes the guards fail, so that no other may miss what is bound to a
 // machine on its way from one record to the next.
 func (p *Placer) merge(r *round, c *ledger.Commit) {
-	hands := len(p.view.Hands)
-	if len(r.drafts) < 2 || hands == 0 || hands > p.cfg.Params.State.TxnOps || len(p.mine()) < hands {
+	if len(r.drafts) < 2 || !p.placesAll() {
 		return
 	}
 	names := slices.Collect(maps.Keys(r.drafts))
@@ -665,13 +786,13 @@
 	merged := false
 	for i, name := range names {
 		into := r.drafts[name]
-		if into == nil || !p.grown(into) {
+		if into == nil || r.parts[name] > 0 || !p.grown(into) {
 			continue
 		}
 		size := into.Size()
 		for _, other := range names[i+1:] {
 			d := r.drafts[other]
-			if d == nil || d.Type != into.Type || d.Zone != into.Zone || d.Spot != into.Spot || d.Lasting() || !p.grown(d) {
+			if d == nil || r.parts[other] > 0 || d.Type != into.Type || d.Zone != into.Zone || d.Spot != into.Spot || d.Lasting() || !p.grown(d) {
 				continue
 			}
 			if more := d.Size(); size+more <= p.valueBytes(mergeFill) {
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -84,7 +84,7 @@
 func Start(ctx context.Context, cfg *config.Config, boot uint64, l *ledger.Ledger, c Cloud, p Prober, report func(*wire.Report)) *Renter {
 	r := &Renter{
 		Actor: actor.Start(ctx, "renter", 256), ctx: ctx, cfg: cfg, boot: boot, begun: time.Now(), ledger: l, cloud: c, prober: p, report: report,
-		pace:   rate.NewLimiter(rate.Limit(cfg.Params.State.WriteRPS*(1-cfg.Ops.StateShare)), cfg.Params.State.TxnOps),
+		pace:   rate.NewLimiter(rate.Limit(cfg.Params.State.WriteRPS*(1-cfg.Ops.StateShare)), cfg.Params.State.Ops()),
 		view:   ledger.NewRunningView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
 		active: map[string]*ledger.Job{}, blocked: map[string]*ledger.Job{}, missing: map[string]string{}, runs: place.NewEstimates(), since: map[string]time.Time{}, heard: map[string]time.Time{}, marked: map[string]time.Time{}, errors: map[string]map[string]bool{},
 		refused: map[plan.Pool]time.Time{}, hiring: map[string]plan.Pool{}, deleting: map[string]bool{}, edits: map[string]edit{},
@@ -491,6 +491,7 @@
 // commit makes a change within the leader's part of the writes; reply runs in
 // the actor.
 func (r *Renter) commit(c ledger.Commit, reply func(ledger.Outcome)) {
+	r.pace.SetLimit(rate.Limit(r.cfg.WriteRPS() * (1 - r.cfg.Ops.StateShare)))
 	wait := r.pace.ReserveN(time.Now(), min(c.Ops(), r.pace.Burst())).Delay()
 	r.After(wait, func() {
 		r.ledger.Commit(c, func(out ledger.Outcome) { r.Send(func() { reply(out) }) })
@@ -572,10 +573,10 @@
 		return
 	}
 	s := r.cfg.Params.State
-	per := ledger.MachinesPer(int(s.ValueKB*1024*groupFill), intent.Tasks)
+	per := ledger.MachinesPer(int(float64(s.ValueBytes())*groupFill), intent.Tasks)
 	key := ledger.Key(ledger.KindRent, name)
 	c := ledger.Commit{Guards: []wire.Guard{r.guard(), {Key: key, Version: stored.Stamp}}, Patience: config.Secs(r.cfg.Ops.PassS)}
-	for len(rest) > 0 && len(c.Puts) < s.TxnOps-1 {
+	for len(rest) > 0 && len(c.Puts) < s.Ops()-1 {
 		n := min(per, len(rest))
 		group := fmt.Sprintf("%s.%s", name, rest[0])
 		bind := ledger.Key(ledger.KindBind, group)
@@ -665,7 +666,7 @@
 		// saw returned it remembers; for the rest it waits until no list shows it.
 		_, late := r.deleted[id]
 		if late || now.Sub(r.begun) < 3*lag || !wire.ValidMachine(id) || renting[plan.Pool{Type: h.Type, Zone: h.Zone, Spot: h.Spot}] ||
-			len(c.Puts) >= r.cfg.Params.State.TxnOps {
+			len(c.Puts) >= r.cfg.Params.State.Ops() {
 			continue
 		}
 		slog.Info("unexpected machine adopted", "machine", id, "type", h.Type, "zone", h.Zone, "spot", h.Spot)
@@ -880,7 +881,7 @@
 	}
 	// What waits is put together when it can be written, not before: its guards
 	// would be old by then.
-	limit := min(r.cfg.Params.State.TxnOps, int(r.pace.Tokens()))
+	limit := min(r.cfg.Params.State.Ops(), int(r.pace.Tokens()))
 	if limit < 1 {
 		r.After(config.Secs(1/float64(r.pace.Limit())), r.flush)
 		return
@@ -925,7 +926,7 @@
 		}
 	}
 	for _, d := range drafts {
-		if !d.Fit(int(r.cfg.Params.State.ValueKB * 1024)) {
+		if !d.Fit(r.cfg.Params.State.ValueBytes()) {
 			slog.Error("record too large; nothing is written", "group", d.Name, "bytes", d.Size())
 			// Its edits are not written with the others: they wait for a smaller
 			// record. Taken for written, a closed machine was never returned.
@@ -963,7 +964,7 @@
 func (r *Renter) tidy() {
 	c := ledger.Commit{Guards: []wire.Guard{r.guard()}}
 	for name, g := range r.view.Groups {
-		if len(g.Binds) > 0 || len(c.Delete) >= r.cfg.Params.State.TxnOps {
+		if len(g.Binds) > 0 || len(c.Delete) >= r.cfg.Params.State.Ops() {
 			continue
 		}
 		if d := r.view.Draft(name); d.Empty() {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -151,6 +151,17 @@
 	return s.keys[key].value
 }
 
+// Largest is the size of the largest value.
+func (s *State) Largest() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, e := range s.keys {
+		n = max(n, len(e.value))
+	}
+	return n
+}
+
 // Dump lists every key with its value, for a failed test's report.
 func (s *State) Dump() string {
 	s.mu.Lock()
