The leader splits a record that its own edits make too large

Cause: a record under 0.9 of the limit was split by nobody, though the leader's edits can make it too large: a row that is rewritten in a later term grows by six digits for each bound task.

One change: the split is one function of the ledger, with one set of guards, that the controller that places and the leader both use; the leader's edits live in a file of their own. A record without room in the transaction waits for a larger one. TestEditBatchWritesEachEditOnce fails with the guards on the hand records taken out.

Ruled out: rows that don't grow in a later term.

--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -231,62 +231,6 @@
 	d.At = min(d.At, o.At)
 }
 
-// Split moves what doesn't fit into new groups, which take over machines and marks as
-// they are, as one group takes over another's in a merge. None is larger than fill
-// bytes, unless one machine is. The names can't have been used before: they hold the
-// revision of the record that they come from, and a machine that only it had then.
-func (d *Draft) Split(fill int) []*Draft {
-	all, marks, from := d.Binds, d.Marks, d.Name
-	if len(all) > 0 {
-		from = all[0].Name
-	}
-	empty := groupBytes + len(d.Type) + len(d.Zone)
-	same := 0 // what a new record's rows have in common stands there once
-	for _, b := range all {
-		same = max(same, len(b.Name)+len(b.Addr))
-	}
-	empty += same
-	d.Binds, d.Marks = nil, map[string][]int{}
-	groups, sizes := []*Draft{d}, []int{empty}
-	first := func(more int) *Draft { // the first with room
-		for i, size := range sizes {
-			if size+more <= fill || size == empty {
-				sizes[i] += more
-				return groups[i]
-			}
-		}
-		name := fmt.Sprintf("%s%d.%d.%s", splitPrefix, d.Stamp, len(groups), from)
-		groups = append(groups, &Draft{
-			Group: Group{Name: name, Type: d.Type, Zone: d.Zone, Spot: d.Spot, At: d.At, Marks: map[string][]int{}}, term: d.term, fresh: map[string]*Bind{},
-		})
-		sizes = append(sizes, empty+more)
-		return groups[len(groups)-1]
-	}
-	whole := Group{Binds: all, same: d.same}
-	for i, row := range whole.rows(common(all)) {
-		more := len(row) + 3
-		if all[i].Addr == "" {
-			more += addrBytes
-		}
-		into := first(more)
-		b := *all[i]
-		b.row = "" // leaves out what the other group's rows had in common
-		into.Binds = append(into.Binds, &b)
-	}
-	for job, ns := range marks {
-		for some := range slices.Chunk(ns, marksTogether) {
-			into := first(len(job) + 8 + len(encodeMarks(some)))
-			into.Marks[job] = append(into.Marks[job], some...)
-		}
-	}
-	return groups[1:]
-}
-
-const (
-	splitPrefix   = "s."
-	marksTogether = 32 // of a job go to one group
-)
-
 // Mark notes a completed task.
 func (d *Draft) Mark(job string, n int) {
 	ns := d.Marks[job]
@@ -364,6 +308,9 @@
 	addrBytes  = 24  // an address that is to come
 	rowBytes   = 30  // a machine with nothing bound, as a rule
 	taskBytes  = 8   // a bound task, besides its job's name
+	markBytes  = 8   // a job's completed tasks, besides their numbers and the job's name
+
+	rowSeparatorBytes = 3 // quotes and a comma
 )
 
 // TaskBytes is what binding a task adds to a record.
@@ -386,13 +333,13 @@
 	a := common(g.Binds)
 	n := groupBytes + len(g.Type) + len(g.Zone) + len(a.Name) + len(a.Addr) + len(a.Port)
 	for i, row := range g.rows(a) {
-		n += len(row) + 3
+		n += len(row) + rowSeparatorBytes
 		if g.Binds[i].Addr == "" {
 			n += addrBytes
 		}
 	}
 	for job, ns := range g.Marks {
-		n += len(job) + 8 + len(encodeMarks(ns))
+		n += len(job) + markBytes + len(encodeMarks(ns))
 	}
 	return n
 }
@@ -626,7 +573,7 @@
 }
 
 // GoneBytes is what a task that left adds to a record.
-func GoneBytes(g *Gone) int { return len(encodeGone(g)) + 3 }
+func GoneBytes(g *Gone) int { return len(encodeGone(g)) + rowSeparatorBytes }
 
 func encodeGone(g *Gone) string {
 	why := strings.ReplaceAll(g.Why, " ", "-") // a worker's word, perhaps an unknown one
--- a/internal/ledger/upgrade_test.go
+++ b/internal/ledger/upgrade_test.go
@@ -79,7 +79,7 @@
 		g.Stamp, g.Gone = 9, nil
 		fill := rapid.IntRange(300, 1500).Draw(t, "fill")
 		d := &Draft{Group: *g, fresh: map[string]*Bind{}}
-		all := append([]*Draft{d}, d.Split(fill)...)
+		all := append([]*Draft{d}, d.splitToFill(fill)...)
 		names, rows, marks := map[string]bool{}, map[string]*Bind{}, map[string][]int{}
 		for _, part := range all {
 			if names[part.Name] {
@@ -91,7 +91,7 @@
 			}
 			lots := len(part.Binds)
 			for job, ns := range part.Marks {
-				lots += (len(ns) + marksTogether - 1) / marksTogether
+				lots += (len(ns) + marksPerPart - 1) / marksPerPart
 				marks[job] = append(marks[job], ns...)
 			}
 			if part.Kept() > fill && lots > 1 {
@@ -174,7 +174,7 @@
 		l.publish([]Change{change(whole, 4)})
 		d := l.view.Draft("g")
 		chs := []Change{}
-		for _, part := range d.Split(300) {
+		for _, part := range d.splitToFill(300) {
 			chs = append(chs, change(&part.Group, 5))
 		}
 		if chs = append(chs, change(&d.Group, 5)); len(chs) < 2 {
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"log/slog"
 	"maps"
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -55,8 +54,8 @@
 	recordFill = 0.85
 	foldFill   = 0.7
 	mergeFill  = 0.6 // groups are merged up to here
-	splitFrom  = 0.9 // a record beyond is split,
-	splitFill  = 0.7 // into some that fill so much
+	splitFrom  = 0.9 // a record beyond is split
+	crowdedAt  = 0.7 // a record beyond that takes no more tasks is split too
 )
 
 func (p *Placer) valueBytes(part float64) int {
@@ -299,7 +298,7 @@
 			if r.drafts[group] != nil {
 				continue
 			}
-			parts := min(int(math.Ceil(float64(g.Kept())/float64(p.valueBytes(splitFill)))), p.cfg.Params.State.Ops()-1)
+			parts := min(ledger.PartsFor(g.Kept(), p.cfg.Params.State.ValueBytes()), p.cfg.Params.State.Ops()-1)
 			if r.ops()+1+parts > r.limit {
 				return // in a round that has room for it
 			}
@@ -311,31 +310,21 @@
 	}
 }
 
-// split makes records that are too large several, as evenly as the round's writes
-// allow; false if they don't.
+// split makes records that are too large several; false if one can't be split.
 func (p *Placer) split(r *round, c *ledger.Commit) bool {
-	for group, most := range r.parts {
+	for group, maxParts := range r.parts {
 		d := r.drafts[group]
-		var parts []*ledger.Draft
-		for fill := splitFill; ; fill += 0.1 {
-			whole := *d.Draft
-			if parts = whole.Split(p.valueBytes(min(fill, 1))); len(parts) <= most {
-				d.Draft = &whole
-				break
-			}
-			if fill >= 1 {
-				slog.Error("record can't be split; nothing is written", "group", group, "bytes", d.Kept())
-				delete(p.large, group)
-				return false
-			}
+		parts, err := d.Split(p.cfg.Params.State.ValueBytes(), maxParts)
+		if err != nil {
+			slog.Error("record can't be split; nothing is written", "group", group, "bytes", d.Kept(), "err", err)
+			delete(p.large, group)
+			return false
 		}
 		for _, part := range parts {
 			slog.Debug("group split", "group", group, "into", part.Name, "machines", len(part.Binds))
-			part.AddTo(c) // before the record that it comes from
-		}
-		for team, h := range p.view.Hands {
-			r.hands[team] = h.Stamp
+			part.AddTo(c) // the record that it comes from follows with the other drafts
 		}
+		maps.Copy(r.hands, p.view.HandStamps())
 		delete(p.crowded, group)
 	}
 	return true
@@ -651,7 +640,7 @@
 	}
 	if d.size+ledger.TaskBytes(w.id) > p.valueBytes(recordFill) || r.bytes() > bodyBytes {
 		node.Open = false // in this round
-		if len(d.Binds) > 1 && d.Kept() > p.valueBytes(splitFill) {
+		if len(d.Binds) > 1 && d.Kept() > p.valueBytes(crowdedAt) {
 			p.crowded[d.Name] = true // full before its machines are
 		}
 		slog.Debug("record is full", "group", node.Group)
@@ -714,9 +703,7 @@
 		return
 	}
 	p.merge(r, &c)
-	for team, stamp := range r.hands {
-		c.Guards = append(c.Guards, wire.Guard{Key: ledger.Key(ledger.KindHand, team), Version: stamp})
-	}
+	c.GuardHands(r.hands)
 	for id, stamp := range r.jobs {
 		c.Guards = append(c.Guards, wire.Guard{Key: ledger.Key(ledger.KindJob, id), Version: stamp})
 	}
@@ -813,9 +800,7 @@
 	if !merged {
 		return
 	}
-	for team, h := range p.view.Hands {
-		r.hands[team] = h.Stamp
-	}
+	maps.Copy(r.hands, p.view.HandStamps())
 }
 
 // grown tells whether a group's record will hardly grow: all its machines have
--- /dev/null
+++ b/internal/rent/edits_test.go
@@ -0,0 +1,153 @@
+package rent
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lynxledge/internal/ledger"
+	"lynxledge/wire"
+)
+
+// fullGroup is a group of another term whose record fills so many bytes.
+func fullGroup(name string, bytes int) *ledger.Group {
+	g := &ledger.Group{Name: name, Type: "s", Zone: "a", Stamp: 5}
+	for i := 0; g.Size() < bytes; i++ {
+		b := &ledger.Bind{Name: fmt.Sprintf("i-%s-%04d", name, i), Group: name, Addr: "x:1", Session: 1, Token: ledger.Token(1) + 9}
+		for n := range 3 {
+			b.Tasks = append(b.Tasks, ledger.Bound{Job: "req-000001", N: 3*i + n, Attempt: ledger.Token(1) + 8})
+		}
+		g.Binds = append(g.Binds, b)
+	}
+	return g
+}
+
+// editView is a view of groups in a later term, with teams handed to some controller.
+func editView(groups []*ledger.Group, teams int) *ledger.View {
+	view := ledger.NewView(1000)
+	view.Apply(ledger.Change{Kind: ledger.KindTerm, Rec: &ledger.Term{Term: 2, Stamp: 1}})
+	for i := range teams {
+		view.Apply(ledger.Change{Kind: ledger.KindHand, Name: fmt.Sprintf("team-%d", i), Rec: &ledger.Hand{Member: "n1", Boot: 3, Stamp: uint64(10 + i)}})
+	}
+	for _, g := range groups {
+		view.Apply(ledger.Change{Kind: ledger.KindBind, Name: g.Name, Rec: g})
+	}
+	return view
+}
+
+// However the groups are filled and whatever is wanted of their machines, each edit
+// that leaves the batch is in exactly one record of the transaction, no machine but
+// those that are gone is missing from it, and no record is beyond the limit. A record
+// that was split is guarded on itself, on every hand record and on the absence of its
+// parts: without the hand records, a controller that the teams go to could miss tasks
+// on their way from one record to the other.
+func TestEditBatchWritesEachEditOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit, maxWrites, teams = 2048, 8, 3
+		var groups []*ledger.Group
+		for i := range rapid.IntRange(1, 4).Draw(t, "groups") {
+			groups = append(groups, fullGroup(fmt.Sprintf("g%d", i), rapid.IntRange(200, limit-100).Draw(t, "bytes")))
+		}
+		view := editView(groups, teams)
+		batch := &editBatch{writes: rapid.IntRange(1, maxWrites).Draw(t, "writes"), maxWrites: maxWrites, groups: map[string]*groupEdits{}}
+		for _, g := range groups {
+			edits := &groupEdits{draft: view.Draft(g.Name), edits: map[string]edit{}}
+			for _, b := range g.Binds {
+				switch rapid.IntRange(0, 3).Draw(t, "edit") {
+				case 0:
+					edits.edits[b.Name] = edit{gone: true}
+				case 1:
+					edits.edits[b.Name] = edit{drain: "faulty"}
+				case 2:
+					edits.edits[b.Name] = edit{quiet: true}
+				}
+			}
+			for m, e := range edits.edits {
+				e.applyTo(edits.draft, m)
+			}
+			if len(batch.groups) < batch.writes {
+				batch.groups[g.Name] = edits
+			}
+		}
+		asked := len(batch.groups)
+		waiting := batch.assemble(limit, view.HandStamps())
+		if waiting != (len(batch.groups) < asked) || batch.commit.Ops() > batch.writes {
+			t.Fatalf("waiting %v with %d groups of %d, %d writes of %d", waiting, len(batch.groups), asked, batch.commit.Ops(), batch.writes)
+		}
+		written := map[string]*ledger.Bind{}
+		split := len(batch.commit.Puts)+len(batch.commit.Delete) > len(batch.groups)
+		for _, put := range batch.commit.Puts {
+			g := put.Rec.(*ledger.Group)
+			if g.Size() > limit {
+				t.Fatalf("%s: %d bytes", g.Name, g.Size())
+			}
+			version := uint64(0)
+			if batch.groups[g.Name] != nil {
+				version = 5
+			}
+			if !slices.Contains(batch.commit.Guards, wire.Guard{Key: put.Key, Version: version}) {
+				t.Fatalf("%s is not guarded on version %d", put.Key, version)
+			}
+			for _, b := range g.Binds {
+				if written[b.Name] != nil {
+					t.Fatalf("%s twice", b.Name)
+				}
+				written[b.Name] = b
+			}
+		}
+		for team, stamp := range view.HandStamps() {
+			guard := wire.Guard{Key: ledger.Key(ledger.KindHand, team), Version: stamp}
+			if split && !slices.Contains(batch.commit.Guards, guard) {
+				t.Fatalf("split without a guard on %s", team)
+			}
+		}
+		for name, group := range batch.groups {
+			for _, old := range view.Groups[name].Binds {
+				e, edited := group.edits[old.Name]
+				row := written[old.Name]
+				switch {
+				case e.gone:
+					if row != nil {
+						t.Fatalf("%s is gone, and written", old.Name)
+					}
+				case row == nil:
+					t.Fatalf("%s is missing", old.Name)
+				case edited && (row.Quiet != e.quiet || row.Drain != e.drain || row.Token <= old.Token):
+					t.Fatalf("%s: %+v became %+v", old.Name, e, row)
+				case len(row.Tasks) != len(old.Tasks):
+					t.Fatalf("%s has %d tasks of %d", old.Name, len(row.Tasks), len(old.Tasks))
+				}
+			}
+		}
+	})
+}
+
+// A record for whose parts the transaction has no room waits, and doesn't hold up the
+// others; in a transaction of its own it is written.
+func TestLargeRecordWaitsForRoom(t *testing.T) {
+	const limit = 2048
+	large, small := fullGroup("large", limit*19/20), fullGroup("small", limit/4)
+	view := editView([]*ledger.Group{large, small}, 1)
+	batch := func(writes int, groups ...*ledger.Group) *editBatch {
+		b := &editBatch{writes: writes, maxWrites: 8, groups: map[string]*groupEdits{}}
+		for _, g := range groups {
+			edits := &groupEdits{draft: view.Draft(g.Name), edits: map[string]edit{}}
+			for _, machine := range g.Binds {
+				edits.edits[machine.Name] = edit{quiet: true}
+				edits.edits[machine.Name].applyTo(edits.draft, machine.Name)
+			}
+			b.groups[g.Name] = edits
+		}
+		return b
+	}
+	b := batch(2, large, small)
+	if waiting := b.assemble(limit, view.HandStamps()); !waiting || b.groups["large"] != nil || b.groups["small"] == nil || b.commit.Ops() != 1 {
+		t.Errorf("both at once: waiting %v, %d writes", waiting, b.commit.Ops())
+	}
+	b = batch(3, large)
+	if waiting := b.assemble(limit, view.HandStamps()); waiting || b.groups["large"] == nil || b.commit.Ops() < 2 {
+		t.Errorf("alone: waiting %v, %d writes", waiting, b.commit.Ops())
+	}
+}
