--- /dev/null
+++ b/internal/rent/failures.go
@@ -0,0 +1,174 @@
+package rent
+
+import (
+	"log/slog"
+	"time"
+
+	"lynxledge/internal/config"
+	"lynxledge/internal/ledger"
+	"lynxledge/internal/place"
+	"lynxledge/wire"
+)
+
+// judge tells a faulty machine from a faulty job: a job fails on every
+// machine, a faulty machine fails whatever job it is given.
+func (r *Renter) judge(gone []ledger.Gone) {
+	for i := range gone {
+		g := &gone[i]
+		m := g.Machine
+		switch g.Why {
+		case wire.WhyDone:
+			delete(r.errors, m)
+		case wire.WhyError:
+			if r.errors[m] == nil {
+				r.errors[m] = map[string]bool{}
+			}
+			r.errors[m][g.Job] = true
+		}
+		if b := r.view.Binds[m]; len(r.errors[m]) >= faultyJobs && b != nil && b.Drain == "" && r.leads() {
+			slog.Warn("machine looks faulty", "machine", m, "type", b.Type, "zone", b.Zone, "failed_jobs", len(r.errors[m]))
+			r.edit(m, edit{drain: "faulty"})
+		}
+	}
+}
+
+// faultyJobs is how many jobs must fail on a machine, with no success between.
+const faultyJobs = 3
+
+// watch looks for machines that are lost: never up, silent or unlisted. A
+// machine is never taken for gone; it is returned, which makes it so.
+func (r *Renter) watch() {
+	if !r.leads() {
+		return
+	}
+	now := time.Now()
+	report := config.Secs(r.cfg.Params.Workers.ReportS)
+	silence := time.Duration(float64(report) * r.cfg.Ops.Silence)
+	var silent, quiet []string
+	all, up, lostIn := 0, map[string]int{}, map[string]int{} // by zone; lost: not heard lately
+	for m, b := range r.view.Binds {
+		age := now.Sub(time.UnixMilli(b.At))
+		switch {
+		case b.Closed: // deleted below
+		case b.Session == 0:
+			if age > config.Secs(r.bootS(b.Type)*r.cfg.Ops.BootPatience) {
+				r.close(m, "never came up")
+			}
+		default:
+			all++
+			up[b.Zone]++
+			since := now.Sub(r.heard[m])
+			if since > report*3/2 {
+				r.probe(m, b)
+				lostIn[b.Zone]++
+			}
+			if (since > silence*2/3 || r.mute[m]) && !b.Quiet {
+				quiet = append(quiet, m)
+			}
+			if since > silence && r.unanswered[m].After(r.heard[m]) {
+				silent = append(silent, m)
+			}
+		}
+	}
+	for _, m := range quiet {
+		r.edit(m, edit{quiet: true})
+	}
+	r.tidy()
+	r.flush()
+	r.remove()
+	// One that stopped is listed as failed long before this; one that is cut
+	// off ends its tasks after a lease, but may be back sooner than another.
+	lost := config.Secs(2 * r.cfg.Params.Workers.LeaseS)
+	for _, m := range silent {
+		// A leader that is cut off from the workers hears none, and then the
+		// mesh may be silent too: others had the time to take the mark away.
+		if !r.view.Binds[m].Quiet || now.Sub(r.marked[m]) < report*4/3 {
+			continue
+		}
+		// When most machines of a zone are silent at once, and they are not just a
+		// few, it is cut off, or we are: they will be back with their images, and
+		// new ones in their place would not be heard either.
+		zone := r.view.Binds[m].Zone
+		cut := lostIn[zone] >= cutFrom && 2*lostIn[zone] > up[zone] || 2*len(silent) > all
+		if now.Sub(r.heard[m]) < lost && (cut || !r.replaceable(m)) {
+			continue
+		}
+		r.close(m, "silent")
+	}
+}
+
+// cutFrom is the least number of silent machines by which a zone is taken for
+// cut off: fewer may well have died.
+const cutFrom = 5
+
+// replaceable tells whether all replicas of a silent machine have room on
+// others. If not, it is kept for as long as its lease may run: a machine that
+// is cut off goes on serving, a new one takes its time to boot, and the cloud
+// may have none.
+func (r *Renter) replaceable(silent string) bool {
+	types := map[string]*wire.MachineType{}
+	for i := range r.types {
+		types[r.types[i].Name] = &r.types[i]
+	}
+	var nodes []*place.Node
+	for m, b := range r.view.Binds {
+		if m == silent || types[b.Type] == nil || !b.Open() {
+			continue
+		}
+		n := &place.Node{Name: m, Type: types[b.Type], Zone: b.Zone, Spot: b.Spot, Image: func(string) bool { return true }}
+		for i := range b.Tasks {
+			// Work of lower rank makes room.
+			if j := r.view.Jobs[b.Tasks[i].Job]; j != nil && j.Spec != nil && j.Spec.Rank == wire.RankProd {
+				n.Used = n.Used.Plus(place.Of(j.Spec), 1)
+			}
+		}
+		nodes = append(nodes, n)
+	}
+	for _, t := range r.view.Binds[silent].Tasks {
+		j := r.view.Jobs[t.Job]
+		if j == nil || !j.Active() || !j.Spec.Service() {
+			continue
+		}
+		zones := place.ZonesOf(r.view, t.Job)
+		zones[r.view.Binds[silent].Zone]--
+		n := place.Pick(j.Spec, zones, place.Offers{}, nodes)
+		if n == nil {
+			return false
+		}
+		n.Used = n.Used.Plus(place.Of(j.Spec), 1)
+	}
+	return true
+}
+
+func (r *Renter) probe(m string, b *ledger.Bind) {
+	if r.probing[m] {
+		return
+	}
+	r.probing[m] = true
+	go func() {
+		rep, err := r.prober.Inspect(r.ctx, b.Addr)
+		r.Send(func() { r.probed(m, b.Session, rep, err) })
+	}()
+}
+
+// probed takes what a silent machine said, or didn't. One that answers is not
+// lost, it may just have no way to whom it reports. But if its lease has run out
+// meanwhile, it loses all it is given again and again: from then on its answers
+// don't count, until a report comes from it.
+func (r *Renter) probed(m string, session uint64, rep *wire.Report, err error) {
+	delete(r.probing, m)
+	if err != nil || rep.Machine != m {
+		r.unanswered[m] = time.Now()
+		return
+	}
+	if rep.Session > session && r.view.Binds[m] != nil && !r.mute[m] {
+		slog.Info("machine answers, but its reports reach nobody", "machine", m, "session", rep.Session)
+		r.mute[m] = true
+	}
+	if r.mute[m] {
+		r.unanswered[m] = time.Now()
+	} else {
+		r.heard[m] = time.Now()
+	}
+	r.report(rep)
+}
--- /dev/null
+++ b/internal/rent/hire.go
@@ -0,0 +1,194 @@
+package rent
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"slices"
+	"time"
+
+	"lynxledge/internal/cloud"
+	"lynxledge/internal/config"
+	"lynxledge/internal/ledger"
+	"lynxledge/internal/place"
+	"lynxledge/internal/plan"
+	"lynxledge/wire"
+)
+
+// rentAll rents what the plan wants, the pool with the largest need first. A
+// pool has one rental under way, whose batches follow each other: one that runs
+// short costs one call, not one for every batch.
+func (r *Renter) rentAll(rents []plan.Rent) {
+	busy := map[plan.Pool]bool{}
+	for _, pool := range r.hiring {
+		busy[pool] = true
+	}
+	for _, i := range r.view.Rents {
+		busy[poolOf(i)] = true
+	}
+	slices.SortStableFunc(rents, func(a, b plan.Rent) int { return cmp.Compare(b.Load, a.Load) })
+	for _, want := range rents {
+		switch {
+		case time.Now().Before(r.refused[want.Pool]):
+		case busy[want.Pool]:
+			r.missed = true
+		default:
+			r.intend(want)
+		}
+	}
+}
+
+func poolOf(i *ledger.Rent) plan.Pool { return plan.Pool{Type: i.Type, Zone: i.Zone, Spot: i.Spot} }
+
+// intend stores what is to be rented, then rents it.
+func (r *Renter) intend(want plan.Rent) {
+	r.hires++
+	name := fmt.Sprintf("r-%d-%d", r.term, r.hires)
+	intent := &ledger.Rent{
+		Type: want.Type, Zone: want.Zone, Spot: want.Spot,
+		Count: want.Count, Tasks: want.Tasks, At: time.Now().UnixMilli(),
+	}
+	key := ledger.Key(ledger.KindRent, name)
+	r.hiring[name] = want.Pool
+	r.commit(ledger.Commit{
+		Guards: []wire.Guard{r.guard(), {Key: key}},
+		Puts:   []ledger.Put{{Key: key, Rec: intent}},
+	}, func(out ledger.Outcome) {
+		delete(r.hiring, name)
+		if out == ledger.Committed {
+			slog.Info("renting", "hire", name, "type", want.Type, "zone", want.Zone, "spot", want.Spot, "count", want.Count, "load", math.Round(want.Load*100)/100)
+			r.hire(name, intent)
+		}
+	})
+}
+
+// hire makes the next call of a stored intent. Each batch has a name of its
+// own; the same name gets the same answer.
+func (r *Renter) hire(name string, intent *ledger.Rent) {
+	if _, busy := r.hiring[name]; busy {
+		return
+	}
+	r.hiring[name] = poolOf(intent)
+	go func() {
+		nests, err := r.cloud.Hire(r.ctx, wire.HireRequest{
+			Request: fmt.Sprintf("%s-%d", name, intent.Batch), Type: intent.Type, Zone: intent.Zone, Spot: intent.Spot,
+			Count: min(intent.Count, wire.MaxHire),
+		})
+		r.Send(func() { r.hired(name, intent, nests, err) })
+	}()
+}
+
+func (r *Renter) hired(name string, intent *ledger.Rent, nests []string, err error) {
+	pool := poolOf(intent)
+	none := errors.Is(err, cloud.ErrNoCapacity) || errors.Is(err, cloud.ErrMalformed)
+	if err != nil && !none {
+		slog.Info("rental unanswered", "hire", name, "err", err)
+		delete(r.hiring, name) // the next pass repeats it
+		return
+	}
+	if !r.leads() {
+		delete(r.hiring, name)
+		return
+	}
+	slices.Sort(nests)
+	asked := min(intent.Count, wire.MaxHire)
+	left, short := intent.Count-asked, none || len(nests) < asked
+	if short {
+		r.refused[pool] = time.Now().Add(config.Secs(r.cfg.Ops.PassS * refusalPasses))
+		r.giveUpBoots(pool)
+		slog.Info("cloud gave less", "hire", name, "batch", intent.Batch, "type", intent.Type, "zone", intent.Zone, "spot", intent.Spot, "asked", intent.Count, "got", len(nests))
+		left = 0
+	}
+	r.record(name, intent, left, nests, short)
+}
+
+// giveUpBoots returns the machines of a pool whose boots drag on: while they
+// are held, the cloud may have no other to give in their place.
+func (r *Renter) giveUpBoots(pool plan.Pool) {
+	for m, b := range r.view.Binds {
+		if b.Type == pool.Type && b.Zone == pool.Zone && b.Spot == pool.Spot && r.drags(b, time.Now()) {
+			r.close(m, "boot drags on and no other is to be had")
+		}
+	}
+}
+
+// drags tells whether a machine has been starting for longer than is usual.
+func (r *Renter) drags(b *ledger.Bind, now time.Time) bool {
+	return b.Session == 0 && now.Sub(time.UnixMilli(b.At)) > config.Secs(place.BootUsual*r.bootS(b.Type))
+}
+
+// refusalPasses is for how many passes a pool that ran short is left alone.
+const refusalPasses = 4
+
+// record writes the machines of a batch, in as many groups as their records
+// need. With the last, the intent goes on to the next batch, or goes. Every such
+// commit is guarded on the intent and rewrites it: a group may have been merged
+// into another since, and a late copy of the commit that made it would bring its
+// machines back with nothing bound to them. short tells that the cloud had fewer
+// than were asked for.
+func (r *Renter) record(name string, intent *ledger.Rent, left int, nests []string, short bool) {
+	rest := slices.DeleteFunc(nests, func(m string) bool {
+		_, returned := r.deleted[m]
+		return returned || !wire.ValidMachine(m) || r.view.Binds[m] != nil
+	})
+	stored := r.view.Rents[name]
+	if stored == nil {
+		delete(r.hiring, name)
+		return
+	}
+	s := r.cfg.Params.State
+	per := ledger.MachinesPer(int(float64(s.ValueBytes())*groupFill), intent.Tasks)
+	key := ledger.Key(ledger.KindRent, name)
+	c := ledger.Commit{Guards: []wire.Guard{r.guard(), {Key: key, Version: stored.Stamp}}, Patience: config.Secs(r.cfg.Ops.PassS)}
+	for len(rest) > 0 && len(c.Puts) < s.Ops()-1 {
+		n := min(per, len(rest))
+		group := fmt.Sprintf("%s.%s", name, rest[0])
+		bind := ledger.Key(ledger.KindBind, group)
+		c.Guards = append(c.Guards, wire.Guard{Key: bind})
+		c.Puts = append(c.Puts, ledger.Put{Key: bind, Rec: ledger.NewGroup(group, intent.Type, intent.Zone, intent.Spot, intent.At, rest[:n], ledger.Token(r.term))})
+		rest = rest[n:]
+	}
+	next := *intent
+	if len(rest) == 0 && left > 0 {
+		next.Count, next.Batch, next.At = left, intent.Batch+1, time.Now().UnixMilli()
+	}
+	if len(rest) > 0 || left > 0 {
+		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: &next})
+	} else {
+		c.Delete = []string{key}
+	}
+	r.commit(c, func(out ledger.Outcome) {
+		if out == ledger.Committed && len(rest) > 0 {
+			r.record(name, intent, left, rest, short)
+			return
+		}
+		delete(r.hiring, name)
+		if out == ledger.Committed && left > 0 {
+			r.hire(name, &next)
+		}
+		// A pool that ran short is planned without at once: waiting for the next
+		// pass at every refusal would leave work without a machine for as many
+		// passes as there are pools. Not before its intent is gone, though: until
+		// then its machines count as rented. So it is with what was wanted of a
+		// pool while this rental was under way.
+		if short || r.missed {
+			r.missed = false
+			r.decide()
+		}
+	})
+}
+
+// groupFill is the part of the value limit that a group's record is planned to
+// fill when its machines are in use.
+const groupFill = 0.8
+
+func (r *Renter) bootS(typ string) float64 {
+	for i := range r.types {
+		if r.types[i].Name == typ {
+			return r.types[i].BootS
+		}
+	}
+	return r.cfg.Ops.BootLagS
+}
--- /dev/null
+++ b/internal/rent/survey.go
@@ -0,0 +1,73 @@
+package rent
+
+import (
+	"log/slog"
+	"time"
+
+	"lynxledge/internal/config"
+	"lynxledge/internal/ledger"
+	"lynxledge/internal/plan"
+	"lynxledge/wire"
+)
+
+// list reads the cloud's machines and deals with what is unexpected.
+func (r *Renter) list() {
+	if r.listing {
+		return
+	}
+	r.listing = true
+	go func() {
+		hosts, err := r.cloud.List(r.ctx)
+		r.Send(func() {
+			r.listing = false
+			if err != nil {
+				slog.Info("machine list not read", "err", err)
+				return
+			}
+			if r.leads() {
+				r.survey(hosts)
+			}
+		})
+	}()
+}
+
+// survey adopts unexpected machines and closes failed ones.
+func (r *Renter) survey(hosts []wire.Host) {
+	now := time.Now()
+	lag := config.Secs(r.cfg.Params.Cloud.ListLagS)
+	for m, t := range r.deleted {
+		if now.Sub(t) > 6*lag {
+			delete(r.deleted, m)
+		}
+	}
+	renting := map[plan.Pool]bool{}
+	for _, i := range r.view.Rents {
+		renting[poolOf(i)] = true
+	}
+	c := ledger.Commit{Guards: []wire.Guard{r.guard()}}
+	for _, h := range hosts {
+		id := h.ID
+		b := r.view.Binds[id]
+		if b != nil {
+			if h.State == wire.HostFailed {
+				r.close(id, "failed")
+			}
+			continue
+		}
+		// A machine that was returned is listed for a while. What this process
+		// saw returned it remembers; for the rest it waits until no list shows it.
+		_, late := r.deleted[id]
+		if late || now.Sub(r.begun) < 3*lag || !wire.ValidMachine(id) || renting[plan.Pool{Type: h.Type, Zone: h.Zone, Spot: h.Spot}] ||
+			len(c.Puts) >= r.cfg.Params.State.Ops() {
+			continue
+		}
+		slog.Info("unexpected machine adopted", "machine", id, "type", h.Type, "zone", h.Zone, "spot", h.Spot)
+		group := ledger.AdoptedName(id)
+		key := ledger.Key(ledger.KindBind, group)
+		c.Guards = append(c.Guards, wire.Guard{Key: key})
+		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: ledger.NewGroup(group, h.Type, h.Zone, h.Spot, now.UnixMilli()-int64(h.AgeS*1000), []string{id}, ledger.Token(r.term))})
+	}
+	if len(c.Puts) > 0 {
+		r.commit(c, func(ledger.Outcome) {})
+	}
+}
