place, ledger, frontdoor: a file for each concern, moved as they were

The placer's nodes, queue, observations and failures; a group, its drafts and the layout of its record; the ledger's reads and its commits; submissions. No line of code is changed.

--- a/internal/frontdoor/frontdoor.go
+++ b/internal/frontdoor/frontdoor.go
@@ -5,11 +5,9 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"log/slog"
 	"math"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -18,7 +16,6 @@
 	"lynxledge/internal/actor"
 	"lynxledge/internal/config"
 	"lynxledge/internal/ledger"
-	"lynxledge/internal/place"
 	"lynxledge/internal/reports"
 	"lynxledge/wire"
 )
@@ -73,22 +70,6 @@
 	return f
 }
 
-// acceptShare is what all controllers together may use for new jobs, as a
-// multiple of the state service's rate of writes. Jobs come seldom but for the
-// first seconds; to know all the work early is then worth more than to rent for
-// a part of it some seconds sooner. More than the rate would only be refused.
-const acceptShare = 1.2
-
-func newPace(cfg *config.Config) *rate.Limiter {
-	each := acceptRate(cfg)
-	return rate.NewLimiter(each, 1+int(2*each))
-}
-
-// acceptRate is this controller's part.
-func acceptRate(cfg *config.Config) rate.Limit {
-	return rate.Limit(cfg.WriteRPS() * acceptShare / float64(len(cfg.Peers)+1))
-}
-
 // SetTypes tells the front of the machine types.
 func (f *Front) SetTypes(types []wire.MachineType) { f.Send(func() { f.types = types }) }
 
@@ -103,38 +84,6 @@
 	return r
 }
 
-func answer(w http.ResponseWriter, status int, v any) {
-	b, err := json.Marshal(v)
-	if err != nil {
-		status, b = http.StatusInternalServerError, nil
-	}
-	h := w.Header()
-	h["Content-Type"] = []string{"application/json"}
-	h["Content-Length"] = []string{strconv.Itoa(len(b))}
-	w.WriteHeader(status)
-	_, _ = w.Write(b)
-}
-
-func refuse(w http.ResponseWriter, status int, why string) {
-	answer(w, status, wire.Problem{Error: why})
-}
-
-// later refuses what can't be taken now and says when to come back.
-func later(w http.ResponseWriter, why string) {
-	w.Header().Set("Retry-After", "1")
-	refuse(w, http.StatusServiceUnavailable, why)
-}
-
-// body reads a request's body; false when it was answered already.
-func body(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
-	if err != nil {
-		refuse(w, http.StatusBadRequest, "body unreadable or over 64 KiB")
-		return nil, false
-	}
-	return b, true
-}
-
 var errNoState = errors.New("state service not reachable")
 
 // lost tells whether this node has had no word of the state service for so long
@@ -242,166 +191,6 @@
 	}
 }
 
-func (f *Front) submit(w http.ResponseWriter, r *http.Request) {
-	b, ok := body(w, r)
-	if !ok {
-		return
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), answerWait)
-	defer cancel()
-	job, perr := wire.ParseJob(b)
-	id, valid := wire.PeekID(b)
-	if perr != nil && !valid {
-		refuse(w, http.StatusBadRequest, perr.Error())
-		return
-	}
-	if l, ok := f.look(id); ok && l.known {
-		f.known(ctx, w, r, id, b)
-		return
-	}
-	status, why := http.StatusBadRequest, ""
-	if perr != nil {
-		why = perr.Error()
-	} else if status, why = f.judge(job); why == "" && len(job.Awaits) > 0 {
-		var err error
-		if status, why, err = f.predecessors(ctx, job); err != nil {
-			f.relay(ctx, w, r, b)
-			return
-		}
-	}
-	switch {
-	case status == http.StatusServiceUnavailable:
-		later(w, why)
-		return
-	case why != "":
-		// A job that was accepted is never refused later, whatever its repeat
-		// says: only a read of the state can tell.
-		l, err := f.current(ctx, id)
-		switch {
-		case err != nil:
-			f.relay(ctx, w, r, b)
-		case l.known:
-			answer(w, http.StatusOK, l.status)
-		default:
-			refuse(w, status, why)
-		}
-		return
-	}
-	f.accept(ctx, w, r, job, b)
-}
-
-func (f *Front) known(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, body []byte) {
-	l, err := f.current(ctx, id)
-	if err != nil || !l.known {
-		f.relay(ctx, w, r, body)
-		return
-	}
-	answer(w, http.StatusOK, l.status)
-}
-
-// judge tells why a job can never run, or can't be judged yet.
-func (f *Front) judge(j *wire.Job) (int, string) {
-	team, ok := f.cfg.Params.Team(j.Team)
-	if !ok {
-		return http.StatusUnprocessableEntity, "unknown team " + strconv.Quote(j.Team)
-	}
-	types, ok := actor.Ask(f.Actor, func(reply func([]wire.MachineType)) { reply(f.types) })
-	if !ok || len(types) == 0 {
-		return http.StatusServiceUnavailable, "machine types not known yet"
-	}
-	if !Fits(j, types) {
-		return http.StatusUnprocessableEntity, "a task fits no allowed machine type"
-	}
-	if raw, err := json.Marshal(&ledger.Job{Spec: j}); err != nil || len(raw)+jobMargin > f.cfg.Params.State.ValueBytes() {
-		return http.StatusUnprocessableEntity, "the description is too long for the state service"
-	}
-	n := 1.0
-	if j.Service() {
-		n = float64(j.Tasks)
-	}
-	if !(place.Tally{}).WithinLimit(team, place.Res{}.Plus(place.Of(j), n)) {
-		return http.StatusUnprocessableEntity, "needs more than the team's limit"
-	}
-	return 0, ""
-}
-
-// predecessors tells why a job can't wait for what it names. That a job was
-// accepted is final: only if one is not known here the state has to be read, once.
-func (f *Front) predecessors(ctx context.Context, j *wire.Job) (status int, why string, err error) {
-	read := false
-	for _, id := range j.Awaits {
-		l, ok := f.look(id)
-		if ok && !l.known && !read {
-			if err := f.barrier(ctx); err != nil {
-				return 0, "", err
-			}
-			read = true
-			l, ok = f.look(id)
-		}
-		switch {
-		case !ok:
-			return 0, "", errNoState
-		case id == j.ID:
-			return http.StatusUnprocessableEntity, "awaits: the job names itself", nil
-		case !l.known:
-			return http.StatusUnprocessableEntity, "awaits: " + id + " was never accepted", nil
-		case l.job.Spec != nil && l.job.Spec.Service():
-			return http.StatusUnprocessableEntity, "awaits: " + id + " is a service, which is never done", nil
-		}
-	}
-	return 0, "", nil
-}
-
-// jobMargin is what a job's record may grow by, in bytes, when it ends.
-const jobMargin = 128
-
-// Fits tells whether a task of the job fits a type it may use.
-func Fits(j *wire.Job, types []wire.MachineType) bool {
-	for i := range types {
-		t := &types[i]
-		for _, z := range t.Zones {
-			if place.Allowed(j, t.Name, z, false) && place.Of(j).Fits(place.Capacity(t)) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-func (f *Front) accept(ctx context.Context, w http.ResponseWriter, r *http.Request, j *wire.Job, body []byte) {
-	if f.lost() {
-		f.relay(ctx, w, r, body)
-		return
-	}
-	key := ledger.Key(ledger.KindJob, j.ID)
-	// A crowd of users must not take all the writes: who comes too early is told
-	// when to come back.
-	f.pace.SetLimit(acceptRate(f.cfg))
-	if !f.pace.Allow() {
-		w.Header().Set("Retry-After", "1")
-		refuse(w, http.StatusTooManyRequests, "too many submissions at once")
-		return
-	}
-	out, ok := f.commit(ctx, ledger.Commit{
-		Guards:   []wire.Guard{{Key: key}},
-		Puts:     []ledger.Put{{Key: key, Rec: &ledger.Job{Spec: j, Tasks: j.Tasks, At: time.Now().UnixMilli()}}},
-		Patience: tryAgain,
-	})
-	switch {
-	case ok && out == ledger.Committed:
-		slog.Debug("job accepted", "job", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks, "image", j.Image, "gb", j.ImageGB, "expect_s", j.EstimateS)
-		status := wire.JobStatus{ID: j.ID, State: wire.JobQueued}
-		if l, ok := f.look(j.ID); ok && l.known { // it may name a job that is cancelled
-			status = l.status
-		}
-		answer(w, http.StatusCreated, status)
-	case ok && out == ledger.Conflicted:
-		f.known(ctx, w, r, j.ID, body)
-	default:
-		f.relay(ctx, w, r, body)
-	}
-}
-
 // commit makes a change on behalf of a waiting user.
 func (f *Front) commit(ctx context.Context, c ledger.Commit) (ledger.Outcome, bool) {
 	ctx, cancel := context.WithTimeout(ctx, 2*tryAgain)
--- /dev/null
+++ b/internal/place/observations.go
@@ -0,0 +1,80 @@
+package place
+
+import (
+	"maps"
+	"time"
+
+	"lynxledge/internal/ledger"
+	"lynxledge/wire"
+)
+
+// Note is a report that proves something of its machine's record, and how long
+// the tasks ran that it calls ended, as far as its hearer knows.
+type Note struct {
+	Report *wire.Report       `json:"report"`
+	RanS   map[string]float64 `json:"ranS,omitempty"`
+}
+
+type noted struct {
+	Note
+	due   time.Time // when this process writes it, if no other has
+	frees int       // tasks that it shows ended: places that stand empty until it is written
+}
+
+// Note takes what a report proves; it is written at once if the teams are
+// handed to this process, else after wait unless another process has.
+func (p *Placer) Note(n Note, wait time.Duration) {
+	p.Post(func() {
+		rec := p.view.Binds[n.Report.Machine]
+		if rec == nil {
+			return
+		}
+		due := time.Now().Add(wait)
+		old := p.notes[rec.Group][rec.Name]
+		if old != nil && !p.proves(rec, old) {
+			old = nil // it was written: what is new waits its own time
+		}
+		if old != nil {
+			if old.Report.Session > n.Report.Session || old.Report.Session == n.Report.Session && old.Report.Seq >= n.Report.Seq {
+				return
+			}
+			if old.due.Before(due) {
+				due = old.due
+			}
+			// The mesh may be sending the note as it came: its map is not written to.
+			ran := maps.Clone(old.RanS)
+			if ran == nil {
+				ran = map[string]float64{}
+			}
+			maps.Copy(ran, n.RanS)
+			n.RanS = ran
+		}
+		p.file(rec.Group, rec.Name, &noted{n, due, ended(n.Report)})
+		p.schedule()
+	})
+}
+
+// file puts a note with those of its group.
+func (p *Placer) file(group, machine string, n *noted) {
+	if p.notes[group] == nil {
+		p.notes[group] = map[string]*noted{}
+	}
+	p.notes[group][machine] = n
+}
+
+// ended counts the tasks that a report shows ended.
+func ended(rep *wire.Report) int {
+	n := 0
+	for i := range rep.Tasks {
+		if rep.Tasks[i].State == wire.TaskExited {
+			n++
+		}
+	}
+	return n
+}
+
+// proves tells whether a note still has anything to write.
+func (p *Placer) proves(rec *ledger.Bind, n *noted) bool {
+	proof := Reconcile(rec, n.Report, p.view.Active)
+	return proof.Changes()
+}
