--- /dev/null
+++ b/internal/place/transaction.go
@@ -0,0 +1,211 @@
+package place
+
+import (
+	"log/slog"
+	"time"
+
+	"lynxledge/internal/ledger"
+	"lynxledge/wire"
+)
+
+// round is one commit in the making: what reports prove, jobs that end by it,
+// and new bindings, all that concerns a group in one write.
+type round struct {
+	now    time.Time
+	limit  int // writes
+	drafts map[string]*draft
+	folds  map[string]*ledger.DoneChunk // by key
+	ends   map[string]int               // jobs that end: writes that takes
+	parts  map[string]int               // groups to split: new records at most
+	falls  map[string]*ledger.Job       // jobs whose cancellation is stored
+	marks  map[string]int               // jobs: tasks marked here
+	jobs   map[string]uint64            // guarded jobs
+	hands  map[string]uint64
+	placed map[string]int
+	tally  Tally
+	owed   map[string]bool
+	starts map[string][]wire.Order
+	stops  map[string][]wire.Order
+	gone   int                     // tasks that left
+	said   int                     // bytes of what the records say of them
+	rows   map[string]*ledger.Bind // of the machines with starts
+	log    []func()
+	judged map[*Node]bool        // brought up to date for choices of victims
+	near   []*Node               // with room, in groups that are written anyhow
+	nearOf int                   // number of those groups
+	tries  map[wire.Rank]float64 // part of the jobs that may look for others' places
+}
+
+type draft struct {
+	*ledger.Draft
+	size int // of the record, at most
+}
+
+// Parts of the value limit: bound tasks may fill the first, the rest is for
+// what a record says when they end; marks are folded beyond the second.
+const (
+	recordFill = 0.8
+	urgentFill = 0.9 // for tasks of rank high and above: the others must not leave them without a record
+	foldFill   = 0.7
+	mergeFill  = 0.6 // groups are merged up to here
+	splitFrom  = 0.9 // a record beyond is split
+	crowdedAt  = 0.7 // a record beyond that takes no more tasks is split too
+)
+
+func (p *Placer) valueBytes(part float64) int {
+	return int(float64(p.cfg.Params.State.ValueBytes()) * part)
+}
+
+func (r *round) ops() int {
+	n := len(r.drafts) + len(r.folds) + len(r.falls)
+	for _, parts := range r.parts {
+		n += parts
+	}
+	for _, w := range r.ends {
+		n += w
+	}
+	return n
+}
+
+// full: no more groups can be written.
+func (r *round) full() bool { return r.ops() >= r.limit || r.bytes() >= bodyBytes }
+
+// bytes is at most the size of the commit. Records may have a size at which a
+// transaction reaches the limit of a body long before that of its writes.
+func (r *round) bytes() int {
+	n := r.said
+	for _, d := range r.drafts {
+		n += d.size + ledger.WriteBytes
+	}
+	for _, f := range r.folds {
+		n += 4*len(f.Bits)/3 + ledger.WriteBytes
+	}
+	n += ledger.WriteBytes * (len(r.ends) + len(r.falls)*(1+fallBytes/ledger.WriteBytes))
+	return n + ledger.WriteBytes*(len(r.jobs)+len(r.hands))
+}
+
+// fallBytes is the most that the record of a cancelled job takes.
+const fallBytes = 1024
+
+// bodyBytes is the part of a body's limit that a commit may fill.
+const bodyBytes = wire.MaxBody * 9 / 10
+
+// guardable tells whether more jobs can be guarded: a transaction may have four
+// guards for each write; each write needs one of its own, and so may every team's hand
+// record.
+func (p *Placer) guardable(r *round) bool {
+	ops := p.cfg.Params.State.Ops()
+	return len(r.jobs) < min(2*ops, 3*ops-len(p.view.Hands))
+}
+
+// open makes a group's next record part of the round; nil when it is full.
+func (p *Placer) open(r *round, group string) *draft {
+	if d := r.drafts[group]; d != nil {
+		return d
+	}
+	if r.full() || p.view.Groups[group] == nil || r.parts[group] == 0 && p.large[group] && p.view.Groups[group].Kept() > p.valueBytes(1) {
+		return nil
+	}
+	d := &draft{Draft: p.view.Draft(group)}
+	d.size = d.Size()
+	if len(r.drafts) > 0 && r.bytes()+d.size > bodyBytes {
+		return nil
+	}
+	r.drafts[group] = d
+	for _, b := range d.Binds {
+		if n := p.nodes[b.Name]; n != nil {
+			n.Apart = false
+		}
+	}
+	return d
+}
+
+// commit makes the round's changes, if there are any.
+func (p *Placer) commit(r *round) {
+	c := ledger.Commit{Settle: true, Patience: p.reportS(0.5)}
+	var touched []string
+	for _, d := range r.drafts {
+		for _, b := range d.Binds {
+			touched = append(touched, b.Name)
+		}
+	}
+	if !p.split(r, &c) {
+		p.undo(touched)
+		return
+	}
+	p.merge(r, &c)
+	c.GuardHands(r.hands)
+	for id, stamp := range r.jobs {
+		c.Guards = append(c.Guards, wire.Guard{Key: ledger.Key(ledger.KindJob, id), Version: stamp})
+	}
+	for key, d := range r.folds {
+		c.Guards = append(c.Guards, wire.Guard{Key: key, Version: d.Stamp})
+		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: d})
+	}
+	for id, rec := range r.falls {
+		c.Puts = append(c.Puts, ledger.Put{Key: ledger.Key(ledger.KindJob, id), Rec: rec})
+	}
+	for job, writes := range r.ends {
+		j := p.view.Jobs[job]
+		c.Puts = append(c.Puts, ledger.Put{Key: ledger.Key(ledger.KindJob, job), Rec: &ledger.Job{
+			State: wire.JobDone, Tasks: j.Tasks, At: j.At, EndAt: r.now.UnixMilli(),
+		}})
+		// The done set goes with the write that calls the job done.
+		for chunk := range p.view.Chunks[job] {
+			if writes--; writes > 0 {
+				c.Delete = append(c.Delete, ledger.DoneKey(job, chunk))
+			}
+		}
+	}
+	for _, d := range r.drafts {
+		for job := range r.ends {
+			delete(d.Marks, job)
+		}
+		if !d.Fit(p.valueBytes(1)) {
+			slog.Error("record too large; nothing is written", "group", d.Name, "bytes", d.Size(), "machines", len(d.Binds))
+			// Rows grow when they are rewritten in a later term: the next round splits the
+			// record, or it would be tried in vain again and again.
+			p.large[d.Name] = true
+			p.undo(touched)
+			return
+		}
+		d.AddTo(&c)
+	}
+	if c.Ops() == 0 {
+		return
+	}
+	p.pace.ReserveN(r.now, c.Ops())
+	p.busy = true
+	slog.Debug("round", "writes", c.Ops(), "limit", r.limit, "groups", len(r.drafts), "of", len(p.view.Groups), "folds", len(r.folds), "ends", len(r.ends), "falls", len(r.falls),
+		"placed", sum(r.placed), "gone", r.gone, "notes_left", len(p.notes))
+	p.ledger.Commit(c, func(out ledger.Outcome) {
+		p.Send(func() {
+			p.busy = false
+			p.undo(touched)
+			if out == ledger.Committed {
+				for _, f := range r.log {
+					f()
+				}
+				p.launch(r)
+			}
+			p.schedule()
+		})
+	})
+}
+
+func sum(m map[string]int) int {
+	n := 0
+	for _, v := range m {
+		n += v
+	}
+	return n
+}
+
+// undo makes nodes that a round has changed say again what their rows do.
+func (p *Placer) undo(machines []string) {
+	for _, m := range machines {
+		if b := p.view.Binds[m]; b != nil {
+			p.renew(m, b)
+		}
+	}
+}
