--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -38,6 +38,10 @@
 	debug.SetMemoryLimit(int64(res.MemoryMB * memoryShare * (1 << 20)))
 	debug.SetGCPercent(800)
 
+	if small := res.Warnings(); len(small) > 0 {
+		slog.Warn("this machine looks small for a controller", "settings", strings.Join(small, " "), "cpu", res.CPU, "memory_mb", res.MemoryMB)
+	}
+
 	users, err := net.Listen("tcp4", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("client_listen: %w", err)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -105,6 +105,26 @@
 	FDLimit  int     `toml:"fd_limit"`
 }
 
+// What a controller needs at the least to serve a deployment of a few hundred machines,
+// as measured: docs/performance.md.
+const (
+	smallCPU      = 0.02 // of a core
+	smallMemoryMB = 40.0
+)
+
+// Warnings names the resources that look too small. They are no reason not to start: the
+// controller then does the best that it can.
+func (r Resources) Warnings() []string {
+	var small []string
+	if r.CPU < smallCPU {
+		small = append(small, "params.resources.cpu")
+	}
+	if r.MemoryMB < smallMemoryMB {
+		small = append(small, "params.resources.memory_mb")
+	}
+	return small
+}
+
 // Params describes the deployment.
 type Params struct {
 	Size       int         `toml:"size"`
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -85,6 +85,9 @@
 		{`name = "red"`, ``, "params.teams[0].name"},
 		{`rps = 3.0`, `rps = 0.0`, "params.cloud.rps"},
 		{`memory_mb = 70.0`, ``, "memory_mb"},
+		{`memory_mb = 70.0`, `memory_mb = -1.0`, "params.resources.memory_mb"},
+		{`cpu = 0.1`, `cpu = 0.0`, "params.resources.cpu"},
+		{`cpu = 0.1`, `cpu = -0.1`, "params.resources.cpu"},
 	} {
 		_, err := Parse(strings.Replace(sound, c.old, c.new, 1))
 		if err == nil || !strings.Contains(err.Error(), c.names) {
@@ -96,6 +99,26 @@
 	}
 }
 
+// A machine that looks small is no reason not to start; what looks small is named.
+func TestSmallMachineIsNamed(t *testing.T) {
+	for _, c := range []struct {
+		resources Resources
+		want      []string
+	}{
+		{Resources{CPU: 0.029, MemoryMB: 49}, nil},
+		{Resources{CPU: 0.001, MemoryMB: 49}, []string{"params.resources.cpu"}},
+		{Resources{CPU: 0.001, MemoryMB: 16}, []string{"params.resources.cpu", "params.resources.memory_mb"}},
+	} {
+		if got := c.resources.Warnings(); !slices.Equal(got, c.want) {
+			t.Errorf("%+v: %v, not %v", c.resources, got, c.want)
+		}
+	}
+	small := strings.NewReplacer("cpu = 0.1", "cpu = 0.001", "memory_mb = 70.0", "memory_mb = 1.0").Replace(sound)
+	if _, err := Parse(small); err != nil {
+		t.Errorf("a small machine is refused: %v", err)
+	}
+}
+
 // Limits to come are optional; given, each must be one that the ledger can work with.
 // Sizes fit the smaller of both from the start.
 func TestLimitsToCome(t *testing.T) {
