--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -25,8 +25,8 @@
 	"lynxledge/wire"
 )
 
-// Beat is one message of a stream.
-type Beat struct {
+// Heartbeat is one message of a stream.
+type Heartbeat struct {
 	Member string   `json:"member"`
 	AgeMS  int64    `json:"ageMs"` // of the sender's view; below 0: it has none
 	Heard  []string `json:"heard,omitempty"`
@@ -51,7 +51,7 @@
 
 type peer struct {
 	config.Peer
-	out  chan Beat
+	out  chan Heartbeat
 	up   atomic.Bool // the stream to it is open
 	seen time.Time
 	age  time.Duration
@@ -82,7 +82,7 @@
 		}},
 	}
 	for _, p := range cfg.Peers {
-		q := &peer{Peer: p, out: make(chan Beat, queued)}
+		q := &peer{Peer: p, out: make(chan Heartbeat, queued)}
 		m.peers[p.Name] = q
 		go m.dial(q)
 	}
@@ -110,14 +110,14 @@
 		return false
 	}
 	select {
-	case p.out <- m.beat(Beat{Note: &n}):
+	case p.out <- m.beat(Heartbeat{Note: &n}):
 		return true
 	default:
 		return false
 	}
 }
 
-func (m *Mesh) beat(b Beat) Beat {
+func (m *Mesh) beat(b Heartbeat) Heartbeat {
 	b.Member, b.AgeMS = m.cfg.Name, -1
 	if f := m.fresh(); !f.IsZero() {
 		b.AgeMS = time.Since(f).Milliseconds()
@@ -127,7 +127,7 @@
 
 // Heard tells the others which workers reported here.
 func (m *Mesh) Heard(machines []string) {
-	b := m.beat(Beat{Heard: machines})
+	b := m.beat(Heartbeat{Heard: machines})
 	for _, p := range m.peers {
 		select {
 		case p.out <- b:
@@ -205,7 +205,7 @@
 	}
 	dec := json.NewDecoder(r.Body)
 	for {
-		var b Beat
+		var b Heartbeat
 		if err := dec.Decode(&b); err != nil {
 			if !errors.Is(err, io.EOF) {
 				slog.Debug("stream broke", "err", err)
@@ -216,7 +216,7 @@
 	}
 }
 
-func (m *Mesh) heard(b Beat) {
+func (m *Mesh) heard(b Heartbeat) {
 	p := m.peers[b.Member]
 	if p == nil {
 		slog.Warn("beat of an unknown controller", "member", b.Member)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -136,7 +136,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var b Beat
+	var b Heartbeat
 	if err := json.Unmarshal(was, &b); err != nil || b.Note == nil || b.Note.Report.Check() != nil {
 		t.Fatalf("%+v: %v", b, err)
 	}
