--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -194,7 +194,7 @@
 		}
 		key := ledger.Key(ledger.KindHand, team)
 		c.Guards = append(c.Guards, wire.Guard{Key: key, Version: stamp})
-		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: ledger.Hand{Member: member, Boot: e.view.Members[member].Boot}})
+		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: ledger.Assignment{Member: member, Boot: e.view.Members[member].Boot}})
 		slog.Info("team handed out", "team", team, "to", member)
 	}
 	if len(c.Puts) > 0 {
@@ -217,12 +217,12 @@
 // Assign names the teams that need another controller. All are handed to one,
 // since a group of machines is best written by one controller alone; it keeps
 // them while it lives. Rather another than the leader, which has work enough.
-func Assign(teams []string, hands map[string]*ledger.Hand, members map[string]*ledger.Member, leader string) map[string]string {
+func Assign(teams []string, hands map[string]*ledger.Assignment, members map[string]*ledger.Member, leader string) map[string]string {
 	out := map[string]string{}
 	if len(members) == 0 {
 		return out
 	}
-	alive := func(h *ledger.Hand) bool {
+	alive := func(h *ledger.Assignment) bool {
 		return h != nil && members[h.Member] != nil && members[h.Member].Boot == h.Boot
 	}
 	held := map[string]int{}
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -21,13 +21,13 @@
 		for i := range rapid.IntRange(1, 5).Draw(t, "members") {
 			members[fmt.Sprint("m", i)] = &ledger.Member{Boot: uint64(i + rapid.IntRange(0, 1).Draw(t, "boot")*10)}
 		}
-		hands := map[string]*ledger.Hand{}
+		hands := map[string]*ledger.Assignment{}
 		var teams []string
 		for i := range rapid.IntRange(1, 8).Draw(t, "teams") {
 			team := fmt.Sprint("t", i)
 			teams = append(teams, team)
 			if m := rapid.IntRange(0, 6).Draw(t, "holder"); m < 6 {
-				hands[team] = &ledger.Hand{Member: fmt.Sprint("m", m), Boot: uint64(m)}
+				hands[team] = &ledger.Assignment{Member: fmt.Sprint("m", m), Boot: uint64(m)}
 			}
 		}
 		live := map[string]bool{}
@@ -37,7 +37,7 @@
 			}
 		}
 		for team, m := range Assign(teams, hands, members, "m0") {
-			hands[team] = &ledger.Hand{Member: m, Boot: members[m].Boot}
+			hands[team] = &ledger.Assignment{Member: m, Boot: members[m].Boot}
 		}
 		for _, team := range teams {
 			h := hands[team]
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -117,8 +117,8 @@
 
 const termBits = 32
 
-// Hand names the controller that places a team's tasks.
-type Hand struct {
+// Assignment names the controller that places a team's tasks.
+type Assignment struct {
 	Member string `json:"member"`
 	Boot   uint64 `json:"boot"`
 	Stamp  uint64 `json:"-"`
@@ -252,7 +252,7 @@
 	case KindDone:
 		return decodeAs(raw, func(v *DoneChunk) { v.Stamp = stamp })
 	case KindHand:
-		return decodeAs(raw, func(v *Hand) { v.Stamp = stamp })
+		return decodeAs(raw, func(v *Assignment) { v.Stamp = stamp })
 	case KindMember:
 		return decodeAs(raw, func(v *Member) { v.Stamp = stamp })
 	case KindRent:
--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -20,7 +20,7 @@
 	Groups  map[string]*Group
 	Binds   map[string]*Bind          // by machine
 	Bound   map[string]map[int]string // job, task: the machine it is bound to
-	Hands   map[string]*Hand
+	Hands   map[string]*Assignment
 	Members map[string]*Member
 	Rents   map[string]*Rent
 	Leader  *Leader
@@ -50,7 +50,7 @@
 func NewView(chunkTasks int) *View {
 	return &View{
 		Jobs: map[string]*Job{}, Chunks: map[string]map[ChunkID]*DoneChunk{}, Groups: map[string]*Group{}, Binds: map[string]*Bind{},
-		Bound: map[string]map[int]string{}, Hands: map[string]*Hand{}, Members: map[string]*Member{},
+		Bound: map[string]map[int]string{}, Hands: map[string]*Assignment{}, Members: map[string]*Member{},
 		Rents: map[string]*Rent{}, done: map[string]*done{}, chunkTasks: chunkTasks,
 	}
 }
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -11,8 +11,8 @@
 
 // mine lists the teams that this process may place: their hand records name
 // it, and the view has every bind made under earlier ones.
-func (p *Placer) mine() map[string]*ledger.Hand {
-	out := map[string]*ledger.Hand{}
+func (p *Placer) mine() map[string]*ledger.Assignment {
+	out := map[string]*ledger.Assignment{}
 	for team, h := range p.view.Hands {
 		if h.Boot == p.boot && p.epoch >= h.Stamp {
 			out[team] = h
@@ -37,7 +37,7 @@
 // has waited for three leases without a single start goes first in its rank with
 // one task, or the largest would starve behind all that are smaller. More than
 // that would make the whole queue late again.
-func (p *Placer) queue(mine map[string]*ledger.Hand, now time.Time) []waiting {
+func (p *Placer) queue(mine map[string]*ledger.Assignment, now time.Time) []waiting {
 	if len(mine) == 0 {
 		return nil
 	}
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -34,7 +34,7 @@
 				ID: "req-000001", Team: "red", Shape: wire.ShapeArray, Tasks: 10000, CPUs: 4, MemoryGB: 1, EstimateS: 50,
 			}}},
 			// Another process places.
-			{Key: ledger.Key(ledger.KindHand, "red"), Rec: ledger.Hand{Member: "n1", Boot: 1}},
+			{Key: ledger.Key(ledger.KindHand, "red"), Rec: ledger.Assignment{Member: "n1", Boot: 1}},
 		}}
 		for name, n := range groups {
 			c.Puts = append(c.Puts, ledger.Put{Key: ledger.Key(ledger.KindBind, name), Rec: groupOf(name, n)})
@@ -177,7 +177,7 @@
 		merged := func(cpus float64) bool {
 			out := false
 			in(p, func() {
-				p.view.Hands["red"] = &ledger.Hand{Member: "n0", Boot: p.boot}
+				p.view.Hands["red"] = &ledger.Assignment{Member: "n0", Boot: p.boot}
 				p.view.Jobs["req-000001"].Spec.CPUs = cpus
 				for m, b := range p.view.Binds {
 					p.renew(m, b)
@@ -228,7 +228,7 @@
 		placing(t, map[string]int{}, func(l *ledger.Ledger, p *Placer) {
 			crowd(l, size.machines, size.jobs)
 			in(p, func() {
-				p.view.Hands["red"] = &ledger.Hand{Member: "n0", Boot: p.boot}
+				p.view.Hands["red"] = &ledger.Assignment{Member: "n0", Boot: p.boot}
 				q := p.queue(p.mine(), time.Now())
 				share := triesOf(q)[wire.RankProd]
 				if want := min(1, float64(maxTries)/float64(size.jobs)); share != want {
@@ -429,7 +429,7 @@
 				p.active["req-000002"], p.view.Jobs["req-000002"] = j, j
 				p.view.Jobs["req-000001"].Spec.EstimateS = 0.1 // leaves the cluster to it soon
 				p.cfg.Params.Objectives = []config.Objective{{Kind: "guarantee", WithinS: 5}}
-				p.view.Hands["red"] = &ledger.Hand{Member: "n0", Boot: p.boot}
+				p.view.Hands["red"] = &ledger.Assignment{Member: "n0", Boot: p.boot}
 				r := &round{
 					now: now, limit: 8, drafts: map[string]*draft{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{},
 					tally: Tally{}, judged: map[*Node]bool{}, tries: map[wire.Rank]float64{wire.RankHigh: 1}, starts: map[string][]wire.Order{},
@@ -466,7 +466,7 @@
 		queued := func(spent float64, shape string, later time.Duration) bool {
 			out := false
 			in(p, func() {
-				p.view.Hands["red"] = &ledger.Hand{Member: "n0", Boot: p.boot}
+				p.view.Hands["red"] = &ledger.Assignment{Member: "n0", Boot: p.boot}
 				p.view.Jobs["req-000001"].Spec.Shape = shape
 				n := p.nodes["i-a000"]
 				r := &round{now: time.Now(), limit: 8, drafts: map[string]*draft{}, stops: map[string][]wire.Order{}}
@@ -542,7 +542,7 @@
 		}
 		l.Commit(ledger.Commit{Puts: []ledger.Put{
 			{Key: ledger.Key(ledger.KindBind, "a"), Rec: group},
-			{Key: ledger.Key(ledger.KindHand, "red"), Rec: ledger.Hand{Member: "n0", Boot: p.boot}},
+			{Key: ledger.Key(ledger.KindHand, "red"), Rec: ledger.Assignment{Member: "n0", Boot: p.boot}},
 			{Key: ledger.TermKey, Rec: &ledger.Term{Term: 2}},
 		}}, func(ledger.Outcome) {})
 		time.Sleep(time.Second)
