--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -184,12 +184,12 @@
 func (e *Election) hand() {
 	teams := Teams(e.opt.Teams, e.view.Jobs)
 	c := ledger.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Version: e.view.Leader.Stamp}}}
-	for team, member := range Assign(teams, e.view.Hands, e.view.Members, e.view.Leader.Member) {
+	for team, member := range Assign(teams, e.view.Assignments, e.view.Members, e.view.Leader.Member) {
 		if len(c.Puts) == e.opt.MaxOps {
 			break
 		}
 		var stamp uint64
-		if h := e.view.Hands[team]; h != nil {
+		if h := e.view.Assignments[team]; h != nil {
 			stamp = h.Stamp
 		}
 		key := ledger.Key(ledger.KindHand, team)
--- a/internal/ledger/split.go
+++ b/internal/ledger/split.go
@@ -138,8 +138,8 @@
 
 // HandStamps are the stamps of all hand records, by team.
 func (v *View) HandStamps() map[string]uint64 {
-	stamps := make(map[string]uint64, len(v.Hands))
-	for team, hand := range v.Hands {
+	stamps := make(map[string]uint64, len(v.Assignments))
+	for team, hand := range v.Assignments {
 		stamps[team] = hand.Stamp
 	}
 	return stamps
--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -15,16 +15,16 @@
 // View is what an actor knows of the state service. Every actor owns one and
 // applies the ledger's deltas to it.
 type View struct {
-	Jobs    map[string]*Job
-	Chunks  map[string]map[ChunkID]*DoneChunk // stored done sets
-	Groups  map[string]*Group
-	Binds   map[string]*Bind          // by machine
-	Bound   map[string]map[int]string // job, task: the machine it is bound to
-	Hands   map[string]*Assignment
-	Members map[string]*Member
-	Rents   map[string]*Rent
-	Leader  *Leader
-	Term    *Term
+	Jobs        map[string]*Job
+	Chunks      map[string]map[ChunkID]*DoneChunk // stored done sets
+	Groups      map[string]*Group
+	Binds       map[string]*Bind          // by machine
+	Bound       map[string]map[int]string // job, task: the machine it is bound to
+	Assignments map[string]*Assignment
+	Members     map[string]*Member
+	Rents       map[string]*Rent
+	Leader      *Leader
+	Term        *Term
 
 	done       map[string]*done // of jobs that are not over
 	chunkTasks int
@@ -50,7 +50,7 @@
 func NewView(chunkTasks int) *View {
 	return &View{
 		Jobs: map[string]*Job{}, Chunks: map[string]map[ChunkID]*DoneChunk{}, Groups: map[string]*Group{}, Binds: map[string]*Bind{},
-		Bound: map[string]map[int]string{}, Hands: map[string]*Assignment{}, Members: map[string]*Member{},
+		Bound: map[string]map[int]string{}, Assignments: map[string]*Assignment{}, Members: map[string]*Member{},
 		Rents: map[string]*Rent{}, done: map[string]*done{}, chunkTasks: chunkTasks,
 	}
 }
@@ -100,7 +100,7 @@
 	case KindBind:
 		return v.applyGroup(c)
 	case KindHand:
-		put(v.Hands, c.Name, c.Rec)
+		put(v.Assignments, c.Name, c.Rec)
 	case KindMember:
 		put(v.Members, c.Name, c.Rec)
 	case KindRent:
@@ -284,7 +284,7 @@
 			return r.Stamp
 		}
 	case KindHand:
-		if r := v.Hands[name]; r != nil {
+		if r := v.Assignments[name]; r != nil {
 			return r.Stamp
 		}
 	case KindMember:
@@ -331,7 +331,7 @@
 	for n, r := range v.Groups {
 		add(KindBind, n, r, r.Stamp)
 	}
-	for n, r := range v.Hands {
+	for n, r := range v.Assignments {
 		add(KindHand, n, r, r.Stamp)
 	}
 	for n, r := range v.Members {
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -13,7 +13,7 @@
 // it, and the view has every bind made under earlier ones.
 func (p *Placer) mine() map[string]*ledger.Assignment {
 	out := map[string]*ledger.Assignment{}
-	for team, h := range p.view.Hands {
+	for team, h := range p.view.Assignments {
 		if h.Boot == p.boot && p.epoch >= h.Stamp {
 			out[team] = h
 		}
--- a/internal/place/repack.go
+++ b/internal/place/repack.go
@@ -13,7 +13,7 @@
 // machines from one record to another: a later hand record makes the guards fail, so
 // that no other may miss what is bound to a machine on its way.
 func (p *Placer) placesAll() bool {
-	hands := len(p.view.Hands)
+	hands := len(p.view.Assignments)
 	return hands > 0 && hands <= p.cfg.Params.State.Ops() && len(p.mine()) == hands
 }
 
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -177,7 +177,7 @@
 		merged := func(cpus float64) bool {
 			out := false
 			in(p, func() {
-				p.view.Hands["red"] = &ledger.Assignment{Member: "n0", Boot: p.boot}
+				p.view.Assignments["red"] = &ledger.Assignment{Member: "n0", Boot: p.boot}
 				p.view.Jobs["req-000001"].Spec.CPUs = cpus
 				for m, b := range p.view.Binds {
 					p.renew(m, b)
@@ -187,7 +187,7 @@
 				p.open(r, "b")
 				var c ledger.Commit
 				p.merge(r, &c)
-				if out = len(r.drafts) == 1; out && (len(c.Delete) != 1 || len(r.drafts["a"].Binds) != 6 || r.hands["red"] != p.view.Hands["red"].Stamp) {
+				if out = len(r.drafts) == 1; out && (len(c.Delete) != 1 || len(r.drafts["a"].Binds) != 6 || r.hands["red"] != p.view.Assignments["red"].Stamp) {
 					t.Errorf("%+v, %d machines", c, len(r.drafts["a"].Binds))
 				}
 			})
@@ -228,7 +228,7 @@
 		placing(t, map[string]int{}, func(l *ledger.Ledger, p *Placer) {
 			crowd(l, size.machines, size.jobs)
 			in(p, func() {
-				p.view.Hands["red"] = &ledger.Assignment{Member: "n0", Boot: p.boot}
+				p.view.Assignments["red"] = &ledger.Assignment{Member: "n0", Boot: p.boot}
 				q := p.queue(p.mine(), time.Now())
 				share := triesOf(q)[wire.RankProd]
 				if want := min(1, float64(maxTries)/float64(size.jobs)); share != want {
@@ -384,7 +384,7 @@
 	placing(t, map[string]int{"a": 20}, func(l *ledger.Ledger, p *Placer) {
 		in(p, func() {
 			p.worker = make(commands, 100)
-			for _, h := range p.view.Hands {
+			for _, h := range p.view.Assignments {
 				h.Boot = p.boot
 			}
 			p.crowded["a"] = true
@@ -429,7 +429,7 @@
 				p.active["req-000002"], p.view.Jobs["req-000002"] = j, j
 				p.view.Jobs["req-000001"].Spec.EstimateS = 0.1 // leaves the cluster to it soon
 				p.cfg.Params.Objectives = []config.Objective{{Kind: "guarantee", WithinS: 5}}
-				p.view.Hands["red"] = &ledger.Assignment{Member: "n0", Boot: p.boot}
+				p.view.Assignments["red"] = &ledger.Assignment{Member: "n0", Boot: p.boot}
 				r := &round{
 					now: now, limit: 8, drafts: map[string]*draft{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{},
 					tally: Tally{}, judged: map[*Node]bool{}, tries: map[wire.Rank]float64{wire.RankHigh: 1}, starts: map[string][]wire.Order{},
@@ -466,7 +466,7 @@
 		queued := func(spent float64, shape string, later time.Duration) bool {
 			out := false
 			in(p, func() {
-				p.view.Hands["red"] = &ledger.Assignment{Member: "n0", Boot: p.boot}
+				p.view.Assignments["red"] = &ledger.Assignment{Member: "n0", Boot: p.boot}
 				p.view.Jobs["req-000001"].Spec.Shape = shape
 				n := p.nodes["i-a000"]
 				r := &round{now: time.Now(), limit: 8, drafts: map[string]*draft{}, stops: map[string][]wire.Order{}}
--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -95,7 +95,7 @@
 // record.
 func (p *Placer) guardable(r *round) bool {
 	ops := p.cfg.Params.State.Ops()
-	return len(r.jobs) < min(2*ops, 3*ops-len(p.view.Hands))
+	return len(r.jobs) < min(2*ops, 3*ops-len(p.view.Assignments))
 }
 
 // open makes a group's next record part of the round; nil when it is full.
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -324,7 +324,7 @@
 // writer is the controller that writes what is bound: the one that the teams
 // are handed to.
 func (r *Reports) writer() string {
-	for _, h := range r.view.Hands {
+	for _, h := range r.view.Assignments {
 		if m := r.view.Members[h.Member]; m != nil && m.Boot == h.Boot {
 			return h.Member
 		}
