--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -192,7 +192,7 @@
 		if h := e.view.Assignments[team]; h != nil {
 			stamp = h.Stamp
 		}
-		key := ledger.Key(ledger.KindHand, team)
+		key := ledger.Key(ledger.KindAssignment, team)
 		c.Guards = append(c.Guards, wire.Guard{Key: key, Version: stamp})
 		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: ledger.Assignment{Member: member, Boot: e.view.Members[member].Boot}})
 		slog.Info("team handed out", "team", team, "to", member)
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -17,14 +17,14 @@
 
 // Kinds of keys, the part behind Root.
 const (
-	KindJob    = "job"
-	KindDone   = "done"
-	KindBind   = "bind"
-	KindHand   = "hand"
-	KindMember = "member"
-	KindRent   = "rent"
-	KindLeader = "leader"
-	KindTerm   = "term"
+	KindJob        = "job"
+	KindDone       = "done"
+	KindBind       = "bind"
+	KindAssignment = "hand"
+	KindMember     = "member"
+	KindRent       = "rent"
+	KindLeader     = "leader"
+	KindTerm       = "term"
 )
 
 // Key makes a key of a kind and a name.
@@ -251,7 +251,7 @@
 		return decodeAs(raw, func(v *Job) { v.Stamp = stamp })
 	case KindDone:
 		return decodeAs(raw, func(v *DoneChunk) { v.Stamp = stamp })
-	case KindHand:
+	case KindAssignment:
 		return decodeAs(raw, func(v *Assignment) { v.Stamp = stamp })
 	case KindMember:
 		return decodeAs(raw, func(v *Member) { v.Stamp = stamp })
--- a/internal/ledger/split.go
+++ b/internal/ledger/split.go
@@ -148,6 +148,6 @@
 // GuardHands guards a commit on hand records, given by team.
 func (c *Commit) GuardHands(stamps map[string]uint64) {
 	for team, stamp := range stamps {
-		c.Guards = append(c.Guards, wire.Guard{Key: Key(KindHand, team), Version: stamp})
+		c.Guards = append(c.Guards, wire.Guard{Key: Key(KindAssignment, team), Version: stamp})
 	}
 }
--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -99,7 +99,7 @@
 		v.applyDone(c)
 	case KindBind:
 		return v.applyGroup(c)
-	case KindHand:
+	case KindAssignment:
 		put(v.Assignments, c.Name, c.Rec)
 	case KindMember:
 		put(v.Members, c.Name, c.Rec)
@@ -283,7 +283,7 @@
 		if r := v.Groups[name]; r != nil {
 			return r.Stamp
 		}
-	case KindHand:
+	case KindAssignment:
 		if r := v.Assignments[name]; r != nil {
 			return r.Stamp
 		}
@@ -332,7 +332,7 @@
 		add(KindBind, n, r, r.Stamp)
 	}
 	for n, r := range v.Assignments {
-		add(KindHand, n, r, r.Stamp)
+		add(KindAssignment, n, r, r.Stamp)
 	}
 	for n, r := range v.Members {
 		add(KindMember, n, r, r.Stamp)
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -34,7 +34,7 @@
 				ID: "req-000001", Team: "red", Shape: wire.ShapeArray, Tasks: 10000, CPUs: 4, MemoryGB: 1, EstimateS: 50,
 			}}},
 			// Another process places.
-			{Key: ledger.Key(ledger.KindHand, "red"), Rec: ledger.Assignment{Member: "n1", Boot: 1}},
+			{Key: ledger.Key(ledger.KindAssignment, "red"), Rec: ledger.Assignment{Member: "n1", Boot: 1}},
 		}}
 		for name, n := range groups {
 			c.Puts = append(c.Puts, ledger.Put{Key: ledger.Key(ledger.KindBind, name), Rec: groupOf(name, n)})
@@ -542,7 +542,7 @@
 		}
 		l.Commit(ledger.Commit{Puts: []ledger.Put{
 			{Key: ledger.Key(ledger.KindBind, "a"), Rec: group},
-			{Key: ledger.Key(ledger.KindHand, "red"), Rec: ledger.Assignment{Member: "n0", Boot: p.boot}},
+			{Key: ledger.Key(ledger.KindAssignment, "red"), Rec: ledger.Assignment{Member: "n0", Boot: p.boot}},
 			{Key: ledger.TermKey, Rec: &ledger.Term{Term: 2}},
 		}}, func(ledger.Outcome) {})
 		time.Sleep(time.Second)
--- a/internal/rent/edits_test.go
+++ b/internal/rent/edits_test.go
@@ -29,7 +29,7 @@
 	view := ledger.NewView(1000)
 	view.Apply(ledger.Change{Kind: ledger.KindTerm, Rec: &ledger.Term{Term: 2, Stamp: 1}})
 	for i := range teams {
-		view.Apply(ledger.Change{Kind: ledger.KindHand, Name: fmt.Sprintf("team-%d", i), Rec: &ledger.Assignment{Member: "n1", Boot: 3, Stamp: uint64(10 + i)}})
+		view.Apply(ledger.Change{Kind: ledger.KindAssignment, Name: fmt.Sprintf("team-%d", i), Rec: &ledger.Assignment{Member: "n1", Boot: 3, Stamp: uint64(10 + i)}})
 	}
 	for _, g := range groups {
 		view.Apply(ledger.Change{Kind: ledger.KindBind, Name: g.Name, Rec: g})
@@ -98,7 +98,7 @@
 			}
 		}
 		for team, stamp := range view.HandStamps() {
-			guard := wire.Guard{Key: ledger.Key(ledger.KindHand, team), Version: stamp}
+			guard := wire.Guard{Key: ledger.Key(ledger.KindAssignment, team), Version: stamp}
 			if split && !slices.Contains(batch.commit.Guards, guard) {
 				t.Fatalf("split without a guard on %s", team)
 			}
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -116,7 +116,7 @@
 		defer cancel()
 		b := newBench(ctx, t, &ledger.Bind{Session: 1, Token: 9, Tasks: []ledger.Bound{{Job: "req-000001", Attempt: 1}}}, &ledger.Job{Tasks: 9})
 		b.ledger.Commit(ledger.Commit{Puts: []ledger.Put{
-			{Key: ledger.Key(ledger.KindHand, "red"), Rec: ledger.Assignment{Member: "n1", Boot: 4}},
+			{Key: ledger.Key(ledger.KindAssignment, "red"), Rec: ledger.Assignment{Member: "n1", Boot: 4}},
 			{Key: ledger.Key(ledger.KindMember, "n1"), Rec: ledger.Member{Boot: 4}},
 		}}, func(ledger.Outcome) {})
 		time.Sleep(time.Second)
