--- a/internal/ledger/split.go
+++ b/internal/ledger/split.go
@@ -136,8 +136,8 @@
 	return &Draft{Group: group, term: p.group.term, fresh: map[string]*Bind{}}
 }
 
-// HandStamps are the stamps of all hand records, by team.
-func (v *View) HandStamps() map[string]uint64 {
+// AssignmentStamps are the stamps of all hand records, by team.
+func (v *View) AssignmentStamps() map[string]uint64 {
 	stamps := make(map[string]uint64, len(v.Assignments))
 	for team, hand := range v.Assignments {
 		stamps[team] = hand.Stamp
--- a/internal/rent/edits.go
+++ b/internal/rent/edits.go
@@ -92,7 +92,7 @@
 		return
 	}
 	batch := r.draftEdits(writes, maxWrites)
-	waiting := batch.assemble(r.cfg.Params.State.ValueBytes(), r.view.HandStamps())
+	waiting := batch.assemble(r.cfg.Params.State.ValueBytes(), r.view.AssignmentStamps())
 	if batch.commit.Ops() == 0 {
 		if waiting && writes < maxWrites {
 			r.flushAfterWrites(maxWrites - writes)
--- a/internal/rent/edits_test.go
+++ b/internal/rent/edits_test.go
@@ -72,7 +72,7 @@
 			}
 		}
 		asked := len(batch.groups)
-		waiting := batch.assemble(limit, view.HandStamps())
+		waiting := batch.assemble(limit, view.AssignmentStamps())
 		if waiting != (len(batch.groups) < asked) || batch.commit.Ops() > batch.writes {
 			t.Fatalf("waiting %v with %d groups of %d, %d writes of %d", waiting, len(batch.groups), asked, batch.commit.Ops(), batch.writes)
 		}
@@ -97,7 +97,7 @@
 				written[b.Name] = b
 			}
 		}
-		for team, stamp := range view.HandStamps() {
+		for team, stamp := range view.AssignmentStamps() {
 			guard := wire.Guard{Key: ledger.Key(ledger.KindAssignment, team), Version: stamp}
 			if split && !slices.Contains(batch.commit.Guards, guard) {
 				t.Fatalf("split without a guard on %s", team)
@@ -143,11 +143,11 @@
 		return b
 	}
 	b := batch(2, large, small)
-	if waiting := b.assemble(limit, view.HandStamps()); !waiting || b.groups["large"] != nil || b.groups["small"] == nil || b.commit.Ops() != 1 {
+	if waiting := b.assemble(limit, view.AssignmentStamps()); !waiting || b.groups["large"] != nil || b.groups["small"] == nil || b.commit.Ops() != 1 {
 		t.Errorf("both at once: waiting %v, %d writes", waiting, b.commit.Ops())
 	}
 	b = batch(3, large)
-	if waiting := b.assemble(limit, view.HandStamps()); waiting || b.groups["large"] == nil || b.commit.Ops() < 2 {
+	if waiting := b.assemble(limit, view.AssignmentStamps()); waiting || b.groups["large"] == nil || b.commit.Ops() < 2 {
 		t.Errorf("alone: waiting %v, %d writes", waiting, b.commit.Ops())
 	}
 }
