--- a/internal/ledger/split.go
+++ b/internal/ledger/split.go
@@ -145,8 +145,8 @@
 	return stamps
 }
 
-// GuardHands guards a commit on hand records, given by team.
-func (c *Commit) GuardHands(stamps map[string]uint64) {
+// GuardAssignments guards a commit on hand records, given by team.
+func (c *Commit) GuardAssignments(stamps map[string]uint64) {
 	for team, stamp := range stamps {
 		c.Guards = append(c.Guards, wire.Guard{Key: Key(KindAssignment, team), Version: stamp})
 	}
--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -134,7 +134,7 @@
 		return
 	}
 	p.merge(r, &c)
-	c.GuardHands(r.hands)
+	c.GuardAssignments(r.hands)
 	for id, stamp := range r.jobs {
 		c.Guards = append(c.Guards, wire.Guard{Key: ledger.Key(ledger.KindJob, id), Version: stamp})
 	}
--- a/internal/rent/edits.go
+++ b/internal/rent/edits.go
@@ -194,7 +194,7 @@
 		delete(b.groups, name)
 	}
 	if split {
-		b.commit.GuardHands(hands)
+		b.commit.GuardAssignments(hands)
 	}
 	return waiting
 }
