--- a/internal/frontdoor/bench_test.go
+++ b/internal/frontdoor/bench_test.go
@@ -45,7 +45,7 @@
 	front := Start(ctx, cfg, l, reporter, nil)
 	front.SetTypes([]wire.MachineType{{Name: "s", CPUs: 16, MemoryGB: 128, Zones: []string{"a"}}})
 	l.Run()
-	machine := &ledger.Bind{Name: "i-000231", Addr: "10.1.0.232:9000", Session: 1, Token: 41}
+	machine := &ledger.Machine{Name: "i-000231", Addr: "10.1.0.232:9000", Session: 1, Token: 41}
 	report := wire.Report{Machine: machine.Name, Addr: machine.Addr, Type: "s", Zone: "a", Session: 1, Token: 41}
 	for n := range 4 {
 		task := ledger.Bound{Job: "req-000001", N: n, Attempt: 40}
@@ -62,7 +62,7 @@
 	}
 	l.Commit(ledger.Commit{Puts: []ledger.Put{
 		{Key: ledger.Key(ledger.KindJob, "req-000001"), Rec: &ledger.Job{Tasks: 80, At: time.Now().UnixMilli(), Spec: spec}},
-		{Key: ledger.Key(ledger.KindBind, "g"), Rec: &ledger.Group{Type: "s", Zone: "a", Binds: []*ledger.Bind{machine}}},
+		{Key: ledger.Key(ledger.KindBind, "g"), Rec: &ledger.Group{Type: "s", Zone: "a", Binds: []*ledger.Machine{machine}}},
 	}}, func(out ledger.Outcome) { loaded <- out })
 	if out := <-loaded; out != ledger.Committed {
 		tb.Fatal("not committed: ", out)
--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -24,7 +24,7 @@
 func benchGroup(name string, first int) *Group {
 	g := &Group{Name: name, Type: "entoto-small", Zone: "bole", Spot: true, At: 1790000010788}
 	for i := range benchMachines {
-		b := &Bind{Name: fmt.Sprintf("i-%06d", first+i), Addr: fmt.Sprintf("10.100.1.%d:9000", i), Session: 1, Token: Token(2) + 11}
+		b := &Machine{Name: fmt.Sprintf("i-%06d", first+i), Addr: fmt.Sprintf("10.100.1.%d:9000", i), Session: 1, Token: Token(2) + 11}
 		for n := range benchTasks {
 			b.Tasks = append(b.Tasks, Bound{Job: fmt.Sprintf("req-%06d", (first+i)%40), N: n, Attempt: Token(2) + 10})
 		}
--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -8,7 +8,7 @@
 )
 
 // next copies the row for a rewrite, with a higher token.
-func (b *Bind) next(term uint64) *Bind {
+func (b *Machine) next(term uint64) *Machine {
 	n := *b
 	n.Tasks = append([]Bound(nil), b.Tasks...)
 	n.Token = max(b.Token+1, Token(term))
@@ -20,12 +20,12 @@
 type Draft struct {
 	Group
 	term  uint64
-	fresh map[string]*Bind // rows rewritten
+	fresh map[string]*Machine // rows rewritten
 }
 
 // Draft begins the next record of a group.
 func (v *View) Draft(name string) *Draft {
-	d := &Draft{Group: *v.Groups[name], term: v.CurrentTerm(), fresh: map[string]*Bind{}}
+	d := &Draft{Group: *v.Groups[name], term: v.CurrentTerm(), fresh: map[string]*Machine{}}
 	d.Binds = slices.Clone(d.Binds)
 	d.Gone = nil
 	d.Marks = make(map[string][]int, len(d.Marks))
@@ -38,7 +38,7 @@
 }
 
 // Edit is a machine's row, to be changed: its token is higher than before.
-func (d *Draft) Edit(machine string) *Bind {
+func (d *Draft) Edit(machine string) *Machine {
 	if b := d.fresh[machine]; b != nil {
 		return b
 	}
@@ -71,7 +71,7 @@
 // Settled tells whether all machines of the group have been up: from then on
 // nothing but the billing of idle ones asks when they were rented.
 func (d *Draft) Settled() bool {
-	return !slices.ContainsFunc(d.Binds, func(b *Bind) bool { return b.Session == 0 })
+	return !slices.ContainsFunc(d.Binds, func(b *Machine) bool { return b.Session == 0 })
 }
 
 // Absorb takes over everything of another group of the same pool, whose record
@@ -102,7 +102,7 @@
 }
 
 func (d *Draft) index(machine string) (int, bool) {
-	return slices.BinarySearchFunc(d.Binds, machine, func(b *Bind, m string) int { return strings.Compare(b.Name, m) })
+	return slices.BinarySearchFunc(d.Binds, machine, func(b *Machine, m string) int { return strings.Compare(b.Name, m) })
 }
 
 // Fit drops what is only worth knowing until the record is within limit
--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -12,8 +12,8 @@
 	Type  string
 	Zone  string
 	Spot  bool
-	At    int64   // time of day of the rental, ms
-	Binds []*Bind // by name
+	At    int64      // time of day of the rental, ms
+	Binds []*Machine // by name
 	// Marks are completed tasks of jobs that are not over, until they are
 	// folded into the jobs' done sets.
 	Marks map[string][]int
@@ -41,9 +41,9 @@
 	WhyNever   = "never_started"
 )
 
-// Bind is one machine of a group and all that is bound to it. It is never
+// Machine is one machine of a group and all that is bound to it. It is never
 // written to once it is part of a record.
-type Bind struct {
+type Machine struct {
 	Name    string
 	Group   string
 	Type    string
@@ -65,10 +65,10 @@
 }
 
 // Open tells whether tasks may be bound to the machine.
-func (b *Bind) Open() bool { return b.Session > 0 && b.Drain == "" && !b.Closed && !b.Quiet }
+func (b *Machine) Open() bool { return b.Session > 0 && b.Drain == "" && !b.Closed && !b.Quiet }
 
 // Find returns the bound task of this name, or nil.
-func (b *Bind) Find(job string, n int) *Bound {
+func (b *Machine) Find(job string, n int) *Bound {
 	for i := range b.Tasks {
 		if t := &b.Tasks[i]; t.N == n && t.Job == job {
 			return t
@@ -79,7 +79,7 @@
 
 // Left lists the tasks of old that a machine's next row lacks; either may be
 // nil.
-func Left(old, next *Bind) []*Bound {
+func Left(old, next *Machine) []*Bound {
 	var out []*Bound
 	if old == nil {
 		return out
@@ -96,7 +96,7 @@
 func NewGroup(name, typ, zone string, spot bool, at int64, machines []string, token uint64) *Group {
 	g := &Group{Name: name, Type: typ, Zone: zone, Spot: spot, At: at}
 	for _, m := range machines {
-		g.Binds = append(g.Binds, &Bind{Name: m, Token: token})
+		g.Binds = append(g.Binds, &Machine{Name: m, Token: token})
 	}
 	return g
 }
--- a/internal/ledger/grouprecord.go
+++ b/internal/ledger/grouprecord.go
@@ -20,7 +20,7 @@
 }
 
 // common is the affix of rows.
-func common(binds []*Bind) affix {
+func common(binds []*Machine) affix {
 	var a affix
 	first := true
 	for i, b := range binds {
@@ -158,7 +158,7 @@
 	if r.Layout != layout {
 		return nil, ErrLayout
 	}
-	g := &Group{Name: name, Type: r.Type, Zone: r.Zone, Spot: r.Spot, At: r.At, Stamp: stamp, Binds: make([]*Bind, len(r.Rows)), same: r.Same}
+	g := &Group{Name: name, Type: r.Type, Zone: r.Zone, Spot: r.Spot, At: r.At, Stamp: stamp, Binds: make([]*Machine, len(r.Rows)), same: r.Same}
 	if old != nil && (old.same != g.same || old.Type != g.Type || old.Zone != g.Zone || old.Spot != g.Spot || old.At != g.At) {
 		old = nil
 	}
@@ -208,7 +208,7 @@
 // encode writes a row, without what all have in common: name, address, session, token, flags and drain, then
 // the tasks, each with its attempt and perhaps its stop. Tokens are written in
 // base 36; attempts and stops as what they lie below the row's token.
-func (b *Bind) encode(a affix) string {
+func (b *Machine) encode(a affix) string {
 	s := make([]byte, 0, 64+24*len(b.Tasks))
 	s = append(s, b.Name[len(a.Name):]...)
 	s = append(s, ' ')
@@ -254,12 +254,12 @@
 	return string(s)
 }
 
-func decodeRow(row string, a affix) (*Bind, error) {
+func decodeRow(row string, a affix) (*Machine, error) {
 	f := strings.Split(row, " ")
 	if len(f) < 5 {
 		return nil, fmt.Errorf("row %.80q", row)
 	}
-	b := &Bind{Name: a.Name + f[0], row: row}
+	b := &Machine{Name: a.Name + f[0], row: row}
 	if f[1] != none {
 		b.Addr = a.Addr + f[1] + a.Port
 	}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -23,7 +23,7 @@
 func genGroup(t *rapid.T) *Group {
 	g := NewGroup("g", "t", "z", rapid.Bool().Draw(t, "spot"), 5, nil, 0)
 	for i := range rapid.IntRange(0, 6).Draw(t, "machines") {
-		b := &Bind{
+		b := &Machine{
 			Name: fmt.Sprintf("i-%06d", i), Group: "g", Type: "t", Zone: "z", Spot: g.Spot, At: 5,
 			Session: uint64(rapid.IntRange(0, 3).Draw(t, "session")), Token: Token(uint64(rapid.IntRange(3, 4).Draw(t, "term"))) + uint64(rapid.IntRange(0, 99).Draw(t, "token")),
 			Quiet: rapid.Bool().Draw(t, "quiet"), Closed: rapid.Bool().Draw(t, "closed"),
@@ -186,8 +186,8 @@
 func TestOwnDeleteIsNotUndone(t *testing.T) {
 	l := &Ledger{view: NewView(8), epoch: 8, dead: map[string]uint64{Key(KindBind, "m2"): 11}}
 	task := Bound{Job: "req-000001", Attempt: 1}
-	l.view.Apply(Change{Key: Key(KindBind, "m1"), Kind: KindBind, Name: "m1", Rec: &Group{Name: "m1", Binds: []*Bind{{Name: "m1", Tasks: []Bound{task}}}, Stamp: 12}, Stamp: 12})
-	old, _ := json.Marshal(&Group{Binds: []*Bind{{Name: "m2", Tasks: []Bound{task}}}})
+	l.view.Apply(Change{Key: Key(KindBind, "m1"), Kind: KindBind, Name: "m1", Rec: &Group{Name: "m1", Binds: []*Machine{{Name: "m1", Tasks: []Bound{task}}}, Stamp: 12}, Stamp: 12})
+	old, _ := json.Marshal(&Group{Binds: []*Machine{{Name: "m2", Tasks: []Bound{task}}}})
 	l.Subscribe(func(d Delta) {
 		for _, c := range d.Changes {
 			if c.Rec != nil {
@@ -231,7 +231,7 @@
 		groups := map[string]*Group{"a": {Name: "a", Type: "t", Zone: "z", At: 5}, "b": {Name: "b", Type: "t", Zone: "z", At: 7}}
 		for i := range n {
 			g := groups[rapid.SampledFrom([]string{"a", "b"}).Draw(t, "group")]
-			b := &Bind{Name: fmt.Sprintf("i-%06d", i), Addr: fmt.Sprintf("10.0.%d.1:9", i), Session: 1, Token: Token(1) + uint64(i)}
+			b := &Machine{Name: fmt.Sprintf("i-%06d", i), Addr: fmt.Sprintf("10.0.%d.1:9", i), Session: 1, Token: Token(1) + uint64(i)}
 			if rapid.Bool().Draw(t, "busy") {
 				b.Tasks = []Bound{{Job: "req-000001", N: i, Attempt: b.Token}}
 			}
--- a/internal/ledger/split.go
+++ b/internal/ledger/split.go
@@ -133,7 +133,7 @@
 		At:    p.group.At,
 		Marks: map[string][]int{},
 	}
-	return &Draft{Group: group, term: p.group.term, fresh: map[string]*Bind{}}
+	return &Draft{Group: group, term: p.group.term, fresh: map[string]*Machine{}}
 }
 
 // AssignmentStamps are the stamps of all hand records, by team.
--- a/internal/ledger/upgrade_test.go
+++ b/internal/ledger/upgrade_test.go
@@ -78,9 +78,9 @@
 		}
 		g.Stamp, g.Gone = 9, nil
 		fill := rapid.IntRange(300, 1500).Draw(t, "fill")
-		d := &Draft{Group: *g, fresh: map[string]*Bind{}}
+		d := &Draft{Group: *g, fresh: map[string]*Machine{}}
 		all := append([]*Draft{d}, d.splitToFill(fill)...)
-		names, rows, marks := map[string]bool{}, map[string]*Bind{}, map[string][]int{}
+		names, rows, marks := map[string]bool{}, map[string]*Machine{}, map[string][]int{}
 		for _, part := range all {
 			if names[part.Name] {
 				t.Fatalf("%s twice", part.Name)
@@ -102,7 +102,7 @@
 				t.Fatal(err)
 			}
 			got, err := decodeGroup(part.Name, raw, 9, nil)
-			if err != nil || !slices.IsSortedFunc(got.Binds, func(a, b *Bind) int { return cmpNames(a, b) }) {
+			if err != nil || !slices.IsSortedFunc(got.Binds, func(a, b *Machine) int { return cmpNames(a, b) }) {
 				t.Fatalf("%s: %v", raw, err)
 			}
 			for _, b := range got.Binds {
@@ -131,7 +131,7 @@
 	})
 }
 
-func cmpNames(a, b *Bind) int {
+func cmpNames(a, b *Machine) int {
 	switch {
 	case a.Name < b.Name:
 		return -1
@@ -169,7 +169,7 @@
 		}
 		whole := NewGroup("g", "t", "z", false, 5, nil, 0)
 		for i := range 9 {
-			whole.Binds = append(whole.Binds, &Bind{Name: fmt.Sprintf("i-%06d", i), Addr: "x:1", Session: 1, Token: 8, Tasks: []Bound{{Job: "req-000001", N: i, Attempt: 7}}})
+			whole.Binds = append(whole.Binds, &Machine{Name: fmt.Sprintf("i-%06d", i), Addr: "x:1", Session: 1, Token: 8, Tasks: []Bound{{Job: "req-000001", N: i, Attempt: 7}}})
 		}
 		l.publish([]Change{change(whole, 4)})
 		d := l.view.Draft("g")
--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -18,7 +18,7 @@
 	Jobs        map[string]*Job
 	Chunks      map[string]map[ChunkID]*DoneChunk // stored done sets
 	Groups      map[string]*Group
-	Binds       map[string]*Bind          // by machine
+	Binds       map[string]*Machine       // by machine
 	Bound       map[string]map[int]string // job, task: the machine it is bound to
 	Assignments map[string]*Assignment
 	Members     map[string]*Member
@@ -49,7 +49,7 @@
 // of a done set.
 func NewView(chunkTasks int) *View {
 	return &View{
-		Jobs: map[string]*Job{}, Chunks: map[string]map[ChunkID]*DoneChunk{}, Groups: map[string]*Group{}, Binds: map[string]*Bind{},
+		Jobs: map[string]*Job{}, Chunks: map[string]map[ChunkID]*DoneChunk{}, Groups: map[string]*Group{}, Binds: map[string]*Machine{},
 		Bound: map[string]map[int]string{}, Assignments: map[string]*Assignment{}, Members: map[string]*Member{},
 		Rents: map[string]*Rent{}, done: map[string]*done{}, chunkTasks: chunkTasks,
 	}
@@ -78,7 +78,7 @@
 // BindChange is what a change of a group means for one machine.
 type BindChange struct {
 	Machine  string
-	Old, New *Bind // nil: not there
+	Old, New *Machine // nil: not there
 }
 
 // Apply takes one change over, and tells which machines it changes. Jobs must
@@ -163,7 +163,7 @@
 	put(v.Groups, c.Name, c.Rec)
 	g := v.Groups[c.Name]
 	var out []BindChange
-	var was, is []*Bind
+	var was, is []*Machine
 	if old != nil {
 		was = old.Binds
 	}
--- a/internal/place/nodes.go
+++ b/internal/place/nodes.go
@@ -76,7 +76,7 @@
 
 // renew makes a machine's node anew from its row, and keeps the sums and the
 // indexes over the nodes; without a row the node goes.
-func (p *Placer) renew(machine string, b *ledger.Bind) {
+func (p *Placer) renew(machine string, b *ledger.Machine) {
 	n := p.nodes[machine]
 	if n != nil {
 		p.index(n, -1)
@@ -159,7 +159,7 @@
 }
 
 // fill makes a node say what a row does.
-func (p *Placer) fill(n *Node, b *ledger.Bind) {
+func (p *Placer) fill(n *Node, b *ledger.Machine) {
 	old := n.Tasks
 	n.Group, n.Type, n.Zone, n.Spot, n.Open = b.Group, p.types[b.Type], b.Zone, b.Spot, b.Open()
 	n.Used, n.Tasks = Res{}, make([]Task, 0, len(b.Tasks))
--- a/internal/place/observations.go
+++ b/internal/place/observations.go
@@ -74,7 +74,7 @@
 }
 
 // proves tells whether a note still has anything to write.
-func (p *Placer) proves(rec *ledger.Bind, n *noted) bool {
+func (p *Placer) proves(rec *ledger.Machine, n *noted) bool {
 	proof := Reconcile(rec, n.Report, p.view.Active)
 	return proof.Changes()
 }
--- a/internal/place/reconcile.go
+++ b/internal/place/reconcile.go
@@ -25,7 +25,7 @@
 // later session, or absence under a token that fences every launch of the
 // attempt proves that a task is gone; absence alone proves nothing, because a
 // launch may be on its way.
-func Reconcile(rec *ledger.Bind, rep *wire.Report, active func(job string) bool) Proof {
+func Reconcile(rec *ledger.Machine, rep *wire.Report, active func(job string) bool) Proof {
 	var p Proof
 	if rep.Session < rec.Session {
 		return p // a report from before the worker's lease ended
@@ -94,7 +94,7 @@
 	return p
 }
 
-func (p *Proof) gone(rec *ledger.Bind, b *ledger.Bound, why string) {
+func (p *Proof) gone(rec *ledger.Machine, b *ledger.Bound, why string) {
 	p.Gone = append(p.Gone, ledger.Gone{Machine: rec.Name, Job: b.Job, N: b.N, Why: why})
 }
 
--- a/internal/place/reconcile_test.go
+++ b/internal/place/reconcile_test.go
@@ -17,7 +17,7 @@
 // the same answer, and cancelled work is never launched at all.
 func TestReconcileProvesOnlyWhatIsCertain(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		rec := &ledger.Bind{Session: 2, Token: 50}
+		rec := &ledger.Machine{Session: 2, Token: 50}
 		rep := &wire.Report{Session: uint64(rapid.IntRange(1, 3).Draw(t, "session")), Token: uint64(rapid.IntRange(30, 60).Draw(t, "token"))}
 		cancelled := map[string]bool{}
 		entries := map[string]wire.TaskReport{}
--- a/internal/place/repack.go
+++ b/internal/place/repack.go
@@ -112,7 +112,7 @@
 // grown tells whether a group's record will hardly grow: all its machines have
 // been up, and none has room.
 func (p *Placer) grown(d *draft) bool {
-	return d.Settled() && !slices.ContainsFunc(d.Binds, func(b *ledger.Bind) bool {
+	return d.Settled() && !slices.ContainsFunc(d.Binds, func(b *ledger.Machine) bool {
 		n := p.nodes[b.Name]
 		return n != nil && n.HasRoom()
 	})
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -50,7 +50,7 @@
 func groupOf(name string, machines int) *ledger.Group {
 	g := &ledger.Group{Name: name, Type: "s", Zone: "a"}
 	for i := range machines {
-		g.Binds = append(g.Binds, &ledger.Bind{
+		g.Binds = append(g.Binds, &ledger.Machine{
 			Name: fmt.Sprintf("i-%s%03d", name, i), Addr: "x:1", Session: 1, Token: 9,
 			Tasks: []ledger.Bound{{Job: "req-000001", N: 100*int(name[0]-'a') + i, Attempt: 1}},
 		})
@@ -261,7 +261,7 @@
 				g := *p.view.Groups["z"]
 				other := *g.Binds[7]
 				other.Tasks = nil
-				at := [2]*ledger.Bind{g.Binds[7], &other}
+				at := [2]*ledger.Machine{g.Binds[7], &other}
 				turn := 0
 				n = testing.AllocsPerRun(20, func() {
 					turn++
@@ -310,9 +310,9 @@
 			c := make(commands, 1)
 			in(p, func() {
 				p.worker = c
-				rec := &ledger.Bind{Name: "i-a000", Addr: "x:1", Session: 1, Token: 10}
+				rec := &ledger.Machine{Name: "i-a000", Addr: "x:1", Session: 1, Token: 10}
 				p.launch(&round{
-					now: time.Now().Add(-ago), rows: map[string]*ledger.Bind{"i-a000": rec},
+					now: time.Now().Add(-ago), rows: map[string]*ledger.Machine{"i-a000": rec},
 					starts: map[string][]wire.Order{"i-a000": {{Op: wire.OpStart, Task: "req-000001/7", Attempt: 10}}},
 				})
 			})
@@ -433,7 +433,7 @@
 				r := &round{
 					now: now, limit: 8, drafts: map[string]*draft{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{},
 					tally: Tally{}, judged: map[*Node]bool{}, tries: map[wire.Rank]float64{wire.RankHigh: 1}, starts: map[string][]wire.Order{},
-					stops: map[string][]wire.Order{}, rows: map[string]*ledger.Bind{},
+					stops: map[string][]wire.Order{}, rows: map[string]*ledger.Machine{},
 				}
 				for _, w := range p.queue(p.mine(), now) {
 					if w.id == "req-000002" {
@@ -502,7 +502,7 @@
 			}
 			r := &round{
 				now: time.Now(), limit: 8, drafts: map[string]*draft{}, folds: map[string]*ledger.DoneChunk{}, ends: map[string]int{}, marks: map[string]int{},
-				jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{}, tally: Tally{}, rows: map[string]*ledger.Bind{}, starts: map[string][]wire.Order{},
+				jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{}, tally: Tally{}, rows: map[string]*ledger.Machine{}, starts: map[string][]wire.Order{},
 			}
 			if full := p.view.Groups["a"].Kept(); full < p.valueBytes(recordFill)*9/10 {
 				t.Errorf("%d bytes: the record has room anyhow", full)
@@ -534,7 +534,7 @@
 		limit := p.cfg.Params.State.ValueBytes()
 		group := &ledger.Group{Name: "a", Type: "s", Zone: "a"}
 		for i := 0; group.Kept() < limit*87/100; i++ {
-			b := &ledger.Bind{Name: fmt.Sprintf("i-a%03d", i), Addr: "x:1", Session: 1, Token: ledger.Token(1) + 9}
+			b := &ledger.Machine{Name: fmt.Sprintf("i-a%03d", i), Addr: "x:1", Session: 1, Token: ledger.Token(1) + 9}
 			for n := range 6 {
 				b.Tasks = append(b.Tasks, ledger.Bound{Job: "req-000001", N: 100 + 6*i + n, Attempt: ledger.Token(1) + 8})
 			}
--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -26,9 +26,9 @@
 	owed   map[string]bool
 	starts map[string][]wire.Order
 	stops  map[string][]wire.Order
-	gone   int                     // tasks that left
-	said   int                     // bytes of what the records say of them
-	rows   map[string]*ledger.Bind // of the machines with starts
+	gone   int                        // tasks that left
+	said   int                        // bytes of what the records say of them
+	rows   map[string]*ledger.Machine // of the machines with starts
 	log    []func()
 	judged map[*Node]bool        // brought up to date for choices of victims
 	near   []*Node               // with room, in groups that are written anyhow
--- a/internal/rent/edits.go
+++ b/internal/rent/edits.go
@@ -35,7 +35,7 @@
 )
 
 // wanted tells whether an edit still changes a machine's row.
-func (e edit) wanted(b *ledger.Bind) bool {
+func (e edit) wanted(b *ledger.Machine) bool {
 	switch {
 	case b == nil:
 		return false
--- a/internal/rent/edits_test.go
+++ b/internal/rent/edits_test.go
@@ -15,7 +15,7 @@
 func fullGroup(name string, bytes int) *ledger.Group {
 	g := &ledger.Group{Name: name, Type: "s", Zone: "a", Stamp: 5}
 	for i := 0; g.Size() < bytes; i++ {
-		b := &ledger.Bind{Name: fmt.Sprintf("i-%s-%04d", name, i), Group: name, Addr: "x:1", Session: 1, Token: ledger.Token(1) + 9}
+		b := &ledger.Machine{Name: fmt.Sprintf("i-%s-%04d", name, i), Group: name, Addr: "x:1", Session: 1, Token: ledger.Token(1) + 9}
 		for n := range 3 {
 			b.Tasks = append(b.Tasks, ledger.Bound{Job: "req-000001", N: 3*i + n, Attempt: ledger.Token(1) + 8})
 		}
@@ -76,7 +76,7 @@
 		if waiting != (len(batch.groups) < asked) || batch.commit.Ops() > batch.writes {
 			t.Fatalf("waiting %v with %d groups of %d, %d writes of %d", waiting, len(batch.groups), asked, batch.commit.Ops(), batch.writes)
 		}
-		written := map[string]*ledger.Bind{}
+		written := map[string]*ledger.Machine{}
 		split := len(batch.commit.Puts)+len(batch.commit.Delete) > len(batch.groups)
 		for _, put := range batch.commit.Puts {
 			g := put.Rec.(*ledger.Group)
--- a/internal/rent/failures.go
+++ b/internal/rent/failures.go
@@ -140,7 +140,7 @@
 	return true
 }
 
-func (r *Renter) probe(m string, b *ledger.Bind) {
+func (r *Renter) probe(m string, b *ledger.Machine) {
 	if r.probing[m] {
 		return
 	}
--- a/internal/rent/hire.go
+++ b/internal/rent/hire.go
@@ -115,7 +115,7 @@
 }
 
 // drags tells whether a machine has been starting for longer than is usual.
-func (r *Renter) drags(b *ledger.Bind, now time.Time) bool {
+func (r *Renter) drags(b *ledger.Machine, now time.Time) bool {
 	return b.Session == 0 && now.Sub(time.UnixMilli(b.At)) > config.Secs(place.BootUsual*r.bootS(b.Type))
 }
 
--- a/internal/rent/rent_test.go
+++ b/internal/rent/rent_test.go
@@ -88,7 +88,7 @@
 		group := func(m string, tasks ...ledger.Bound) ledger.Put {
 			return ledger.Put{Key: ledger.Key(ledger.KindBind, "g."+m), Rec: &ledger.Group{
 				Type: "s", Zone: "a", At: time.Now().UnixMilli(),
-				Binds: []*ledger.Bind{{Name: m, Addr: "x:1", Session: 1, Tasks: tasks}},
+				Binds: []*ledger.Machine{{Name: m, Addr: "x:1", Session: 1, Tasks: tasks}},
 			}}
 		}
 		c := ledger.Commit{Puts: []ledger.Put{
@@ -161,19 +161,19 @@
 // stayed. It waits until the record is smaller.
 func TestEditOfFullRecordWaits(t *testing.T) {
 	lead(t, 0, func(l *ledger.Ledger, _ *standin.Cloud, r *Renter) {
-		bind := func(m string, tasks int) *ledger.Bind {
-			b := &ledger.Bind{Name: m, Addr: "x:1", Session: 1, Token: 1 << 33}
+		bind := func(m string, tasks int) *ledger.Machine {
+			b := &ledger.Machine{Name: m, Addr: "x:1", Session: 1, Token: 1 << 33}
 			for n := range tasks {
 				b.Tasks = append(b.Tasks, ledger.Bound{Job: "req-000001", N: n, Attempt: 1})
 			}
 			return b
 		}
-		put := func(g string, b *ledger.Bind) ledger.Put {
-			return ledger.Put{Key: ledger.Key(ledger.KindBind, g), Rec: &ledger.Group{Name: g, Type: "s", Zone: "a", Binds: []*ledger.Bind{b}}}
+		put := func(g string, b *ledger.Machine) ledger.Put {
+			return ledger.Put{Key: ledger.Key(ledger.KindBind, g), Rec: &ledger.Group{Name: g, Type: "s", Zone: "a", Binds: []*ledger.Machine{b}}}
 		}
 		limit := int(r.cfg.Params.State.ValueKB * 1024)
 		full := bind("i-8", 1)
-		for n := 2; (&ledger.Group{Type: "s", Zone: "a", Binds: []*ledger.Bind{full}}).Size() < limit; n++ {
+		for n := 2; (&ledger.Group{Type: "s", Zone: "a", Binds: []*ledger.Machine{full}}).Size() < limit; n++ {
 			full = bind("i-8", n)
 		}
 		l.Commit(ledger.Commit{Puts: []ledger.Put{put("full", full), put("small", bind("i-9", 0))}}, func(ledger.Outcome) {})
@@ -205,7 +205,7 @@
 		net.SetFates(0, 1)
 		time.Sleep(8 * time.Second)
 		net.SetFates(0, 0)
-		row := func() (b ledger.Bind) {
+		row := func() (b ledger.Machine) {
 			ch := make(chan bool)
 			r.Send(func() {
 				for _, x := range r.view.Binds {
@@ -220,9 +220,9 @@
 		if b.Name == "" {
 			t.Fatal("nothing rented")
 		}
-		held := &ledger.Bind{Name: b.Name, Addr: "x:1", Session: 1, Token: b.Token + 1, Tasks: []ledger.Bound{{Job: "req-000001", Attempt: b.Token}}}
+		held := &ledger.Machine{Name: b.Name, Addr: "x:1", Session: 1, Token: b.Token + 1, Tasks: []ledger.Bound{{Job: "req-000001", Attempt: b.Token}}}
 		l.Commit(ledger.Commit{
-			Puts:   []ledger.Put{{Key: ledger.Key(ledger.KindBind, "other"), Rec: &ledger.Group{Type: b.Type, Zone: b.Zone, At: b.At, Binds: []*ledger.Bind{held}}}},
+			Puts:   []ledger.Put{{Key: ledger.Key(ledger.KindBind, "other"), Rec: &ledger.Group{Type: b.Type, Zone: b.Zone, At: b.At, Binds: []*ledger.Machine{held}}}},
 			Delete: []string{ledger.Key(ledger.KindBind, b.Group)},
 		}, func(ledger.Outcome) {})
 		for range 100 {
@@ -244,7 +244,7 @@
 		limit := r.cfg.Params.State.ValueBytes()
 		g := &ledger.Group{Name: "g", Type: "s", Zone: "a"}
 		for i := 0; g.Size() < limit*17/20; i++ {
-			b := &ledger.Bind{Name: fmt.Sprintf("i-%06d", 100+i), Addr: "x:1", Session: 1, Token: ledger.Token(1) + 9}
+			b := &ledger.Machine{Name: fmt.Sprintf("i-%06d", 100+i), Addr: "x:1", Session: 1, Token: ledger.Token(1) + 9}
 			for n := range 4 {
 				b.Tasks = append(b.Tasks, ledger.Bound{Job: "req-000001", N: 4*i + n, Attempt: ledger.Token(1) + 8})
 			}
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -281,7 +281,7 @@
 const deafReports = 2.5
 
 // overdue tells whether a task of a job cancelled long ago is still bound.
-func (r *Reports) overdue(rec *ledger.Bind, now time.Time) bool {
+func (r *Reports) overdue(rec *ledger.Machine, now time.Time) bool {
 	for i := range rec.Tasks {
 		j := r.view.Jobs[rec.Tasks[i].Job]
 		if j != nil && j.State == wire.JobCancelled && now.Sub(time.UnixMilli(j.EndAt)) > r.spare() {
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -22,7 +22,7 @@
 	alone     bool
 }
 
-func newBench(ctx context.Context, t *testing.T, bind *ledger.Bind, job *ledger.Job) *bench {
+func newBench(ctx context.Context, t *testing.T, bind *ledger.Machine, job *ledger.Job) *bench {
 	cfg := &config.Config{Ops: config.DefaultOps()}
 	cfg.Params.Workers = config.Workers{ReportS: 3, LeaseS: 34, CancelS: 64}
 	cfg.Params.State = config.State{ValueKB: 8, TxnOps: 8, RPS: 150, WriteRPS: 50}
@@ -40,7 +40,7 @@
 	bind.Name = "i-1"
 	ok := make(chan ledger.Outcome, 1)
 	l.Commit(ledger.Commit{Puts: []ledger.Put{
-		{Key: ledger.Key(ledger.KindBind, "g"), Rec: &ledger.Group{Type: "t", Zone: "z", Binds: []*ledger.Bind{bind}}}, {Key: ledger.Key(ledger.KindJob, "req-000001"), Rec: job},
+		{Key: ledger.Key(ledger.KindBind, "g"), Rec: &ledger.Group{Type: "t", Zone: "z", Binds: []*ledger.Machine{bind}}}, {Key: ledger.Key(ledger.KindJob, "req-000001"), Rec: job},
 	}}, func(out ledger.Outcome) { ok <- out })
 	if out := <-ok; out != ledger.Committed {
 		t.Fatal(out)
@@ -65,7 +65,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		b := newBench(ctx, t,
-			&ledger.Bind{Session: 1, Token: 9, Tasks: []ledger.Bound{{Job: "req-000001", Attempt: 1}}},
+			&ledger.Machine{Session: 1, Token: 9, Tasks: []ledger.Bound{{Job: "req-000001", Attempt: 1}}},
 			&ledger.Job{State: wire.JobCancelled, Tasks: 1, EndAt: time.Now().Add(-40 * time.Second).UnixMilli()})
 		running := []wire.TaskReport{{Task: "req-000001/0", Attempt: 1, State: wire.TaskRunning}}
 		if r := b.report(wire.Report{Session: 1, Seq: 1, Tasks: running}); r.Accept {
@@ -94,8 +94,8 @@
 }
 
 // row is the machine's row as the reports actor knows it.
-func (b *bench) row() ledger.Bind {
-	ch := make(chan ledger.Bind)
+func (b *bench) row() ledger.Machine {
+	ch := make(chan ledger.Machine)
 	b.reports.Send(func() { ch <- *b.reports.view.Binds["i-1"] })
 	return <-ch
 }
@@ -114,7 +114,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		b := newBench(ctx, t, &ledger.Bind{Session: 1, Token: 9, Tasks: []ledger.Bound{{Job: "req-000001", Attempt: 1}}}, &ledger.Job{Tasks: 9})
+		b := newBench(ctx, t, &ledger.Machine{Session: 1, Token: 9, Tasks: []ledger.Bound{{Job: "req-000001", Attempt: 1}}}, &ledger.Job{Tasks: 9})
 		b.ledger.Commit(ledger.Commit{Puts: []ledger.Put{
 			{Key: ledger.Key(ledger.KindAssignment, "red"), Rec: ledger.Assignment{Member: "n1", Boot: 4}},
 			{Key: ledger.Key(ledger.KindMember, "n1"), Rec: ledger.Member{Boot: 4}},
@@ -142,7 +142,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		b := newBench(ctx, t, &ledger.Bind{Session: 1, Token: 9}, &ledger.Job{Tasks: 1})
+		b := newBench(ctx, t, &ledger.Machine{Session: 1, Token: 9}, &ledger.Job{Tasks: 1})
 		half := b.reports.spare() * 3 / 4
 		b.stale(half)
 		if r := b.ask(wire.Report{Session: 1, Seq: 1}); !r.Accept {
@@ -171,7 +171,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		b := newBench(ctx, t, &ledger.Bind{Session: 2, Token: 9, Quiet: true, Drain: "faulty"}, &ledger.Job{Tasks: 1})
+		b := newBench(ctx, t, &ledger.Machine{Session: 2, Token: 9, Quiet: true, Drain: "faulty"}, &ledger.Job{Tasks: 1})
 		before := b.row()
 		b.report(wire.Report{Session: 2, Seq: 7, Token: 8}) // from before the mark
 		b.report(wire.Report{Session: 1, Seq: 3, Token: 8}) // from an earlier session
@@ -208,7 +208,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		b := newBench(ctx, t, &ledger.Bind{Session: 1, Token: 9}, &ledger.Job{Tasks: 1})
+		b := newBench(ctx, t, &ledger.Machine{Session: 1, Token: 9}, &ledger.Job{Tasks: 1})
 		for seq := range uint64(6) {
 			b.ask(wire.Report{Session: 1, Seq: seq + 1, Token: 5})
 			time.Sleep(3 * time.Second)
@@ -229,7 +229,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		b := newBench(ctx, t, &ledger.Bind{Session: 1, Token: 9}, &ledger.Job{Tasks: 1})
+		b := newBench(ctx, t, &ledger.Machine{Session: 1, Token: 9}, &ledger.Job{Tasks: 1})
 		if r := b.report(wire.Report{Session: 1, Seq: 1}); !r.Accept {
 			t.Fatal("refused with a fresh view")
 		}
@@ -247,7 +247,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		b := newBench(ctx, t, &ledger.Bind{Session: 1, Token: 9, Tasks: []ledger.Bound{{Job: "req-000001", Attempt: 8}}}, &ledger.Job{Tasks: 1})
+		b := newBench(ctx, t, &ledger.Machine{Session: 1, Token: 9, Tasks: []ledger.Bound{{Job: "req-000001", Attempt: 8}}}, &ledger.Job{Tasks: 1})
 		left := []wire.TaskReport{{Task: "req-000002/0", Attempt: 1, State: wire.TaskExited, Why: wire.WhyDone}}
 		verbs := func(seq uint64) (out []string) {
 			r := b.ask(wire.Report{Session: 1, Seq: seq, Tasks: left})
@@ -275,7 +275,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		b := newBench(ctx, t, &ledger.Bind{Session: 1, Token: 9}, &ledger.Job{Tasks: 1})
+		b := newBench(ctx, t, &ledger.Machine{Session: 1, Token: 9}, &ledger.Job{Tasks: 1})
 		b.reports.Handle(&wire.Report{Machine: "i-1", Addr: "i-1:1", Type: "t", Zone: "z", Session: 1, Seq: 5, Token: 9})
 		if b.heard() {
 			t.Error("an answer to a command passes for a report")
@@ -293,7 +293,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		b := newBench(ctx, t, &ledger.Bind{Session: 1, Token: 9}, &ledger.Job{Tasks: 1})
+		b := newBench(ctx, t, &ledger.Machine{Session: 1, Token: 9}, &ledger.Job{Tasks: 1})
 		time.Sleep(100 * time.Millisecond) // the watch repeats what was just committed
 		b.stale(40 * time.Second)
 		if r := b.ask(wire.Report{Session: 1, Seq: 1, Token: 9}); r.Accept || !b.heard() {
