--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// BindChange is what a change of a group means for one machine.
-type BindChange struct {
+// MachineChange is what a change of a group means for one machine.
+type MachineChange struct {
 	Machine  string
 	Old, New *Machine // nil: not there
 }
@@ -84,7 +84,7 @@
 // Apply takes one change over, and tells which machines it changes. Jobs must
 // come before what is bound or done of them, and of one revision what is there
 // before what is not: a group may take over the machines of another.
-func (v *View) Apply(c Change) []BindChange {
+func (v *View) Apply(c Change) []MachineChange {
 	switch c.Kind {
 	case KindJob:
 		put(v.Jobs, c.Name, c.Rec)
@@ -158,11 +158,11 @@
 	}
 }
 
-func (v *View) applyGroup(c Change) []BindChange {
+func (v *View) applyGroup(c Change) []MachineChange {
 	old := v.Groups[c.Name]
 	put(v.Groups, c.Name, c.Rec)
 	g := v.Groups[c.Name]
-	var out []BindChange
+	var out []MachineChange
 	var was, is []*Machine
 	if old != nil {
 		was = old.Binds
@@ -175,15 +175,15 @@
 		case len(is) == 0 || len(was) > 0 && was[0].Name < is[0].Name:
 			// A machine that another group has taken over is not gone.
 			if v.Binds[was[0].Name] == was[0] {
-				out = append(out, BindChange{was[0].Name, was[0], nil})
+				out = append(out, MachineChange{was[0].Name, was[0], nil})
 			}
 			was = was[1:]
 		case len(was) == 0 || is[0].Name < was[0].Name:
-			out = append(out, BindChange{is[0].Name, v.Binds[is[0].Name], is[0]})
+			out = append(out, MachineChange{is[0].Name, v.Binds[is[0].Name], is[0]})
 			is = is[1:]
 		default:
 			if was[0] != is[0] {
-				out = append(out, BindChange{is[0].Name, was[0], is[0]})
+				out = append(out, MachineChange{is[0].Name, was[0], is[0]})
 			}
 			was, is = was[1:], is[1:]
 		}
@@ -203,7 +203,7 @@
 	return out
 }
 
-func (v *View) rebind(c BindChange) {
+func (v *View) rebind(c MachineChange) {
 	if c.Old != nil {
 		for i := range c.Old.Tasks {
 			t := &c.Old.Tasks[i]
--- a/internal/place/nodes.go
+++ b/internal/place/nodes.go
@@ -25,7 +25,7 @@
 
 // bindChanged takes a machine's new row over: what is bound since when, and
 // which images are there.
-func (p *Placer) bindChanged(c ledger.BindChange, now time.Time) {
+func (p *Placer) bindChanged(c ledger.MachineChange, now time.Time) {
 	p.renew(c.Machine, c.New)
 	if c.New == nil {
 		delete(p.images, c.Machine)
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -131,7 +131,7 @@
 	}
 }
 
-func (r *Renter) bindChanged(c ledger.BindChange, now time.Time) {
+func (r *Renter) bindChanged(c ledger.MachineChange, now time.Time) {
 	m, old, b := c.Machine, c.Old, c.New
 	for _, t := range ledger.Left(old, b) {
 		delete(r.since, t.Name())
