--- a/internal/frontdoor/bench_test.go
+++ b/internal/frontdoor/bench_test.go
@@ -48,7 +48,7 @@
 	machine := &ledger.Machine{Name: "i-000231", Addr: "10.1.0.232:9000", Session: 1, Token: 41}
 	report := wire.Report{Machine: machine.Name, Addr: machine.Addr, Type: "s", Zone: "a", Session: 1, Token: 41}
 	for n := range 4 {
-		task := ledger.Bound{Job: "req-000001", N: n, Attempt: 40}
+		task := ledger.BoundTask{Job: "req-000001", N: n, Attempt: 40}
 		machine.Tasks = append(machine.Tasks, task)
 		report.Tasks = append(report.Tasks, wire.TaskReport{Task: task.Name(), Attempt: 40, State: wire.TaskRunning})
 	}
--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -26,7 +26,7 @@
 	for i := range benchMachines {
 		b := &Machine{Name: fmt.Sprintf("i-%06d", first+i), Addr: fmt.Sprintf("10.100.1.%d:9000", i), Session: 1, Token: Token(2) + 11}
 		for n := range benchTasks {
-			b.Tasks = append(b.Tasks, Bound{Job: fmt.Sprintf("req-%06d", (first+i)%40), N: n, Attempt: Token(2) + 10})
+			b.Tasks = append(b.Tasks, BoundTask{Job: fmt.Sprintf("req-%06d", (first+i)%40), N: n, Attempt: Token(2) + 10})
 		}
 		g.Binds = append(g.Binds, b)
 	}
@@ -57,7 +57,7 @@
 	records[0] = mustMarshal(g)
 	row := g.Binds[5]
 	row.Token++
-	row.Tasks[0] = Bound{Job: "req-000039", N: 77, Attempt: row.Token}
+	row.Tasks[0] = BoundTask{Job: "req-000039", N: 77, Attempt: row.Token}
 	records[1] = mustMarshal(g)
 	return l, records
 }
--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -10,7 +10,7 @@
 // next copies the row for a rewrite, with a higher token.
 func (b *Machine) next(term uint64) *Machine {
 	n := *b
-	n.Tasks = append([]Bound(nil), b.Tasks...)
+	n.Tasks = append([]BoundTask(nil), b.Tasks...)
 	n.Token = max(b.Token+1, Token(term))
 	n.row = ""
 	return &n
--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -53,7 +53,7 @@
 	Addr    string
 	Session uint64 // 0: never reported
 	Token   uint64
-	Tasks   []Bound
+	Tasks   []BoundTask
 	Drain   string // why nothing new may be bound
 	Closed  bool
 	// Quiet: the leader hears nothing of the machine, or it doesn't hear us.
@@ -68,7 +68,7 @@
 func (b *Machine) Open() bool { return b.Session > 0 && b.Drain == "" && !b.Closed && !b.Quiet }
 
 // Find returns the bound task of this name, or nil.
-func (b *Machine) Find(job string, n int) *Bound {
+func (b *Machine) Find(job string, n int) *BoundTask {
 	for i := range b.Tasks {
 		if t := &b.Tasks[i]; t.N == n && t.Job == job {
 			return t
@@ -79,8 +79,8 @@
 
 // Left lists the tasks of old that a machine's next row lacks; either may be
 // nil.
-func Left(old, next *Machine) []*Bound {
-	var out []*Bound
+func Left(old, next *Machine) []*BoundTask {
+	var out []*BoundTask
 	if old == nil {
 		return out
 	}
--- a/internal/ledger/grouprecord.go
+++ b/internal/ledger/grouprecord.go
@@ -275,7 +275,7 @@
 		b.Quiet, b.Closed, b.Drain = strings.Contains(flags, "q"), strings.Contains(flags, "c"), drain
 	}
 	if len(f) > 5 {
-		b.Tasks = make([]Bound, len(f)-5)
+		b.Tasks = make([]BoundTask, len(f)-5)
 	}
 	for i, s := range f[5:] {
 		if b.Tasks[i], err = decodeTask(s, b.Token); err != nil {
@@ -285,15 +285,15 @@
 	return b, nil
 }
 
-func decodeTask(s string, token uint64) (Bound, error) {
+func decodeTask(s string, token uint64) (BoundTask, error) {
 	name, rest, _ := strings.Cut(s, ".")
 	job, n, ok := wire.SplitTask(jobPrefix + name)
 	if !ok {
-		return Bound{}, fmt.Errorf("task %.40q", s)
+		return BoundTask{}, fmt.Errorf("task %.40q", s)
 	}
 	attempt, stop, stopped := strings.Cut(rest, "!")
 	d, err := strconv.ParseUint(attempt, 36, 64)
-	t := Bound{Job: job, N: n, Attempt: token - d}
+	t := BoundTask{Job: job, N: n, Attempt: token - d}
 	if stopped && err == nil {
 		at, grace, _ := strings.Cut(stop, ",")
 		if d, err = strconv.ParseUint(at, 36, 64); err == nil {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -33,7 +33,7 @@
 			b.Addr = rapid.SampledFrom([]string{"10.0.0.1:9000", "10.0.0.14:9000", "10.0.3.1:90", "host"}).Draw(t, "addr")
 		}
 		for n := range rapid.IntRange(0, 5).Draw(t, "n") {
-			task := Bound{Job: rapid.StringMatching(`req-[0-9]{6,9}`).Draw(t, "job"), N: n, Attempt: rapid.Uint64().Draw(t, "attempt")}
+			task := BoundTask{Job: rapid.StringMatching(`req-[0-9]{6,9}`).Draw(t, "job"), N: n, Attempt: rapid.Uint64().Draw(t, "attempt")}
 			if rapid.Bool().Draw(t, "stopped") {
 				task.Stop, task.Grace = 1+rapid.Uint64Max(1<<60).Draw(t, "stop"), rapid.IntRange(0, 90).Draw(t, "grace")
 			}
@@ -185,9 +185,9 @@
 // deletion followed, they looked unbound though they were bound elsewhere.
 func TestOwnDeleteIsNotUndone(t *testing.T) {
 	l := &Ledger{view: NewView(8), epoch: 8, dead: map[string]uint64{Key(KindBind, "m2"): 11}}
-	task := Bound{Job: "req-000001", Attempt: 1}
-	l.view.Apply(Change{Key: Key(KindBind, "m1"), Kind: KindBind, Name: "m1", Rec: &Group{Name: "m1", Binds: []*Machine{{Name: "m1", Tasks: []Bound{task}}}, Stamp: 12}, Stamp: 12})
-	old, _ := json.Marshal(&Group{Binds: []*Machine{{Name: "m2", Tasks: []Bound{task}}}})
+	task := BoundTask{Job: "req-000001", Attempt: 1}
+	l.view.Apply(Change{Key: Key(KindBind, "m1"), Kind: KindBind, Name: "m1", Rec: &Group{Name: "m1", Binds: []*Machine{{Name: "m1", Tasks: []BoundTask{task}}}, Stamp: 12}, Stamp: 12})
+	old, _ := json.Marshal(&Group{Binds: []*Machine{{Name: "m2", Tasks: []BoundTask{task}}}})
 	l.Subscribe(func(d Delta) {
 		for _, c := range d.Changes {
 			if c.Rec != nil {
@@ -233,7 +233,7 @@
 			g := groups[rapid.SampledFrom([]string{"a", "b"}).Draw(t, "group")]
 			b := &Machine{Name: fmt.Sprintf("i-%06d", i), Addr: fmt.Sprintf("10.0.%d.1:9", i), Session: 1, Token: Token(1) + uint64(i)}
 			if rapid.Bool().Draw(t, "busy") {
-				b.Tasks = []Bound{{Job: "req-000001", N: i, Attempt: b.Token}}
+				b.Tasks = []BoundTask{{Job: "req-000001", N: i, Attempt: b.Token}}
 			}
 			g.Binds = append(g.Binds, b)
 		}
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -97,8 +97,8 @@
 	return next
 }
 
-// Bound is one task bound to a machine.
-type Bound struct {
+// BoundTask is one task bound to a machine.
+type BoundTask struct {
 	Job     string
 	N       int
 	Attempt uint64
@@ -110,7 +110,7 @@
 }
 
 // Name is the task's name.
-func (b *Bound) Name() string { return wire.TaskName(b.Job, b.N) }
+func (b *BoundTask) Name() string { return wire.TaskName(b.Job, b.N) }
 
 // Token is the lowest token of a term; generations count up from it.
 func Token(term uint64) uint64 { return term << termBits }
--- a/internal/ledger/upgrade_test.go
+++ b/internal/ledger/upgrade_test.go
@@ -169,7 +169,7 @@
 		}
 		whole := NewGroup("g", "t", "z", false, 5, nil, 0)
 		for i := range 9 {
-			whole.Binds = append(whole.Binds, &Machine{Name: fmt.Sprintf("i-%06d", i), Addr: "x:1", Session: 1, Token: 8, Tasks: []Bound{{Job: "req-000001", N: i, Attempt: 7}}})
+			whole.Binds = append(whole.Binds, &Machine{Name: fmt.Sprintf("i-%06d", i), Addr: "x:1", Session: 1, Token: 8, Tasks: []BoundTask{{Job: "req-000001", N: i, Attempt: 7}}})
 		}
 		l.publish([]Change{change(whole, 4)})
 		d := l.view.Draft("g")
--- a/internal/place/proofs.go
+++ b/internal/place/proofs.go
@@ -151,7 +151,7 @@
 			r.marks[g.Job]++
 			d.size += 8
 		}
-		next.Tasks = slices.DeleteFunc(next.Tasks, func(b ledger.Bound) bool { return b.Job == g.Job && b.N == g.N })
+		next.Tasks = slices.DeleteFunc(next.Tasks, func(b ledger.BoundTask) bool { return b.Job == g.Job && b.N == g.N })
 		d.Gone = append(d.Gone, g)
 		r.gone++
 		r.said += ledger.GoneBytes(&g)
--- a/internal/place/reconcile.go
+++ b/internal/place/reconcile.go
@@ -8,12 +8,12 @@
 // Proof is what a report proves of a machine's record.
 type Proof struct {
 	Orders []wire.Order
-	Gone   []ledger.Gone  // bound tasks that are certainly not on the machine any more
-	Fence  []ledger.Bound // tasks of cancelled jobs that a late launch could still start
-	Joined bool           // the report opens a session that the record doesn't know
-	Behind bool           // the worker has seen a token beyond the record's
-	Back   bool           // the record says that the machine is quiet, but it has heard of that
-	Notice bool           // the cloud will take the machine, which the record doesn't know
+	Gone   []ledger.Gone      // bound tasks that are certainly not on the machine any more
+	Fence  []ledger.BoundTask // tasks of cancelled jobs that a late launch could still start
+	Joined bool               // the report opens a session that the record doesn't know
+	Behind bool               // the worker has seen a token beyond the record's
+	Back   bool               // the record says that the machine is quiet, but it has heard of that
+	Notice bool               // the cloud will take the machine, which the record doesn't know
 }
 
 // Changes tells whether the record has to be rewritten.
@@ -44,7 +44,7 @@
 	p.Notice = rep.NoticeS != nil && rec.Drain == ""
 	type entries struct{ same, other *wire.TaskReport }
 	seen := make(map[string]entries, len(rep.Tasks))
-	bound := make(map[string]*ledger.Bound, len(rec.Tasks))
+	bound := make(map[string]*ledger.BoundTask, len(rec.Tasks))
 	for i := range rec.Tasks {
 		bound[rec.Tasks[i].Name()] = &rec.Tasks[i]
 	}
@@ -94,7 +94,7 @@
 	return p
 }
 
-func (p *Proof) gone(rec *ledger.Machine, b *ledger.Bound, why string) {
+func (p *Proof) gone(rec *ledger.Machine, b *ledger.BoundTask, why string) {
 	p.Gone = append(p.Gone, ledger.Gone{Machine: rec.Name, Job: b.Job, N: b.N, Why: why})
 }
 
--- a/internal/place/reconcile_test.go
+++ b/internal/place/reconcile_test.go
@@ -22,7 +22,7 @@
 		cancelled := map[string]bool{}
 		entries := map[string]wire.TaskReport{}
 		for i := range rapid.IntRange(1, 6).Draw(t, "tasks") {
-			b := ledger.Bound{Job: fmt.Sprintf("req-%06d", i), Attempt: 7}
+			b := ledger.BoundTask{Job: fmt.Sprintf("req-%06d", i), Attempt: 7}
 			if rapid.Bool().Draw(t, "stopped") {
 				b.Stop = uint64(rapid.IntRange(31, 50).Draw(t, "stop"))
 			}
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -234,7 +234,7 @@
 	// revision would not do: it stands still between an own commit and its
 	// repeat by the watch, and an attempt used twice on a machine lets the first
 	// one's end pass for the second's.
-	t := ledger.Bound{Job: w.id, N: n, Attempt: rec.Token}
+	t := ledger.BoundTask{Job: w.id, N: n, Attempt: rec.Token}
 	rec.Tasks = append(rec.Tasks, t)
 	d.size += ledger.TaskBytes(w.id)
 	r.jobs[w.id] = w.job.Stamp
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -52,7 +52,7 @@
 	for i := range machines {
 		g.Binds = append(g.Binds, &ledger.Machine{
 			Name: fmt.Sprintf("i-%s%03d", name, i), Addr: "x:1", Session: 1, Token: 9,
-			Tasks: []ledger.Bound{{Job: "req-000001", N: 100*int(name[0]-'a') + i, Attempt: 1}},
+			Tasks: []ledger.BoundTask{{Job: "req-000001", N: 100*int(name[0]-'a') + i, Attempt: 1}},
 		})
 	}
 	return g
@@ -536,7 +536,7 @@
 		for i := 0; group.Kept() < limit*87/100; i++ {
 			b := &ledger.Machine{Name: fmt.Sprintf("i-a%03d", i), Addr: "x:1", Session: 1, Token: ledger.Token(1) + 9}
 			for n := range 6 {
-				b.Tasks = append(b.Tasks, ledger.Bound{Job: "req-000001", N: 100 + 6*i + n, Attempt: ledger.Token(1) + 8})
+				b.Tasks = append(b.Tasks, ledger.BoundTask{Job: "req-000001", N: 100 + 6*i + n, Attempt: ledger.Token(1) + 8})
 			}
 			group.Binds = append(group.Binds, b)
 		}
--- a/internal/rent/edits_test.go
+++ b/internal/rent/edits_test.go
@@ -17,7 +17,7 @@
 	for i := 0; g.Size() < bytes; i++ {
 		b := &ledger.Machine{Name: fmt.Sprintf("i-%s-%04d", name, i), Group: name, Addr: "x:1", Session: 1, Token: ledger.Token(1) + 9}
 		for n := range 3 {
-			b.Tasks = append(b.Tasks, ledger.Bound{Job: "req-000001", N: 3*i + n, Attempt: ledger.Token(1) + 8})
+			b.Tasks = append(b.Tasks, ledger.BoundTask{Job: "req-000001", N: 3*i + n, Attempt: ledger.Token(1) + 8})
 		}
 		g.Binds = append(g.Binds, b)
 	}
--- a/internal/rent/rent_test.go
+++ b/internal/rent/rent_test.go
@@ -85,7 +85,7 @@
 // it may only be cut off. One that holds batch work alone is returned soon.
 func TestIrreplaceableMachineIsKept(t *testing.T) {
 	lead(t, 0, func(l *ledger.Ledger, _ *standin.Cloud, r *Renter) {
-		group := func(m string, tasks ...ledger.Bound) ledger.Put {
+		group := func(m string, tasks ...ledger.BoundTask) ledger.Put {
 			return ledger.Put{Key: ledger.Key(ledger.KindBind, "g."+m), Rec: &ledger.Group{
 				Type: "s", Zone: "a", At: time.Now().UnixMilli(),
 				Binds: []*ledger.Machine{{Name: m, Addr: "x:1", Session: 1, Tasks: tasks}},
@@ -95,12 +95,12 @@
 			{Key: ledger.Key(ledger.KindJob, "req-000002"), Rec: &ledger.Job{Tasks: 1, At: time.Now().UnixMilli(), Spec: &wire.Job{
 				ID: "req-000002", Team: "red", Shape: wire.ShapeArray, Tasks: 1, CPUs: 4, MemoryGB: 1, EstimateS: 500,
 			}}},
-			group("i-8", ledger.Bound{Job: "req-000002", Attempt: 1}),
-			group("i-9", ledger.Bound{Job: "req-000001", Attempt: 1}),
+			group("i-8", ledger.BoundTask{Job: "req-000002", Attempt: 1}),
+			group("i-9", ledger.BoundTask{Job: "req-000001", Attempt: 1}),
 		}}
 		heard := []string{"i-1", "i-2", "i-3"}
 		for _, m := range heard {
-			c.Puts = append(c.Puts, group(m, ledger.Bound{Job: "req-000001", N: len(c.Puts), Attempt: 1})) // no room here
+			c.Puts = append(c.Puts, group(m, ledger.BoundTask{Job: "req-000001", N: len(c.Puts), Attempt: 1})) // no room here
 		}
 		l.Commit(c, func(ledger.Outcome) {})
 		there := func() (batch, replica bool) {
@@ -164,7 +164,7 @@
 		bind := func(m string, tasks int) *ledger.Machine {
 			b := &ledger.Machine{Name: m, Addr: "x:1", Session: 1, Token: 1 << 33}
 			for n := range tasks {
-				b.Tasks = append(b.Tasks, ledger.Bound{Job: "req-000001", N: n, Attempt: 1})
+				b.Tasks = append(b.Tasks, ledger.BoundTask{Job: "req-000001", N: n, Attempt: 1})
 			}
 			return b
 		}
@@ -220,7 +220,7 @@
 		if b.Name == "" {
 			t.Fatal("nothing rented")
 		}
-		held := &ledger.Machine{Name: b.Name, Addr: "x:1", Session: 1, Token: b.Token + 1, Tasks: []ledger.Bound{{Job: "req-000001", Attempt: b.Token}}}
+		held := &ledger.Machine{Name: b.Name, Addr: "x:1", Session: 1, Token: b.Token + 1, Tasks: []ledger.BoundTask{{Job: "req-000001", Attempt: b.Token}}}
 		l.Commit(ledger.Commit{
 			Puts:   []ledger.Put{{Key: ledger.Key(ledger.KindBind, "other"), Rec: &ledger.Group{Type: b.Type, Zone: b.Zone, At: b.At, Binds: []*ledger.Machine{held}}}},
 			Delete: []string{ledger.Key(ledger.KindBind, b.Group)},
@@ -246,7 +246,7 @@
 		for i := 0; g.Size() < limit*17/20; i++ {
 			b := &ledger.Machine{Name: fmt.Sprintf("i-%06d", 100+i), Addr: "x:1", Session: 1, Token: ledger.Token(1) + 9}
 			for n := range 4 {
-				b.Tasks = append(b.Tasks, ledger.Bound{Job: "req-000001", N: 4*i + n, Attempt: ledger.Token(1) + 8})
+				b.Tasks = append(b.Tasks, ledger.BoundTask{Job: "req-000001", N: 4*i + n, Attempt: ledger.Token(1) + 8})
 			}
 			g.Binds = append(g.Binds, b)
 		}
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -65,7 +65,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		b := newBench(ctx, t,
-			&ledger.Machine{Session: 1, Token: 9, Tasks: []ledger.Bound{{Job: "req-000001", Attempt: 1}}},
+			&ledger.Machine{Session: 1, Token: 9, Tasks: []ledger.BoundTask{{Job: "req-000001", Attempt: 1}}},
 			&ledger.Job{State: wire.JobCancelled, Tasks: 1, EndAt: time.Now().Add(-40 * time.Second).UnixMilli()})
 		running := []wire.TaskReport{{Task: "req-000001/0", Attempt: 1, State: wire.TaskRunning}}
 		if r := b.report(wire.Report{Session: 1, Seq: 1, Tasks: running}); r.Accept {
@@ -114,7 +114,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		b := newBench(ctx, t, &ledger.Machine{Session: 1, Token: 9, Tasks: []ledger.Bound{{Job: "req-000001", Attempt: 1}}}, &ledger.Job{Tasks: 9})
+		b := newBench(ctx, t, &ledger.Machine{Session: 1, Token: 9, Tasks: []ledger.BoundTask{{Job: "req-000001", Attempt: 1}}}, &ledger.Job{Tasks: 9})
 		b.ledger.Commit(ledger.Commit{Puts: []ledger.Put{
 			{Key: ledger.Key(ledger.KindAssignment, "red"), Rec: ledger.Assignment{Member: "n1", Boot: 4}},
 			{Key: ledger.Key(ledger.KindMember, "n1"), Rec: ledger.Member{Boot: 4}},
@@ -247,7 +247,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		b := newBench(ctx, t, &ledger.Machine{Session: 1, Token: 9, Tasks: []ledger.Bound{{Job: "req-000001", Attempt: 8}}}, &ledger.Job{Tasks: 1})
+		b := newBench(ctx, t, &ledger.Machine{Session: 1, Token: 9, Tasks: []ledger.BoundTask{{Job: "req-000001", Attempt: 8}}}, &ledger.Job{Tasks: 1})
 		left := []wire.TaskReport{{Task: "req-000002/0", Attempt: 1, State: wire.TaskExited, Why: wire.WhyDone}}
 		verbs := func(seq uint64) (out []string) {
 			r := b.ask(wire.Report{Session: 1, Seq: seq, Tasks: left})
