--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -56,16 +56,16 @@
 	Tasks   []BoundTask
 	Drain   string // why nothing new may be bound
 	Closed  bool
-	// Quiet: the leader hears nothing of the machine, or it doesn't hear us.
+	// Suspected: the leader hears nothing of the machine, or it doesn't hear us.
 	// A report that has seen this record's token takes the mark away; a machine
 	// is returned as silent only with the mark.
-	Quiet bool
+	Suspected bool
 
 	row string // as it stands in the record
 }
 
 // Open tells whether tasks may be bound to the machine.
-func (b *Machine) Open() bool { return b.Session > 0 && b.Drain == "" && !b.Closed && !b.Quiet }
+func (b *Machine) Open() bool { return b.Session > 0 && b.Drain == "" && !b.Closed && !b.Suspected }
 
 // Find returns the bound task of this name, or nil.
 func (b *Machine) Find(job string, n int) *BoundTask {
--- a/internal/ledger/grouprecord.go
+++ b/internal/ledger/grouprecord.go
@@ -223,7 +223,7 @@
 	s = strconv.AppendUint(s, b.Token-a.Base, 36)
 	s = append(s, ' ')
 	at := len(s)
-	if b.Quiet {
+	if b.Suspected {
 		s = append(s, 'q')
 	}
 	if b.Closed {
@@ -272,7 +272,7 @@
 	b.Token += a.Base
 	if f[4] != none {
 		flags, drain, _ := strings.Cut(f[4], ":")
-		b.Quiet, b.Closed, b.Drain = strings.Contains(flags, "q"), strings.Contains(flags, "c"), drain
+		b.Suspected, b.Closed, b.Drain = strings.Contains(flags, "q"), strings.Contains(flags, "c"), drain
 	}
 	if len(f) > 5 {
 		b.Tasks = make([]BoundTask, len(f)-5)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -26,7 +26,7 @@
 		b := &Machine{
 			Name: fmt.Sprintf("i-%06d", i), Group: "g", Type: "t", Zone: "z", Spot: g.Spot, At: 5,
 			Session: uint64(rapid.IntRange(0, 3).Draw(t, "session")), Token: Token(uint64(rapid.IntRange(3, 4).Draw(t, "term"))) + uint64(rapid.IntRange(0, 99).Draw(t, "token")),
-			Quiet: rapid.Bool().Draw(t, "quiet"), Closed: rapid.Bool().Draw(t, "closed"),
+			Suspected: rapid.Bool().Draw(t, "quiet"), Closed: rapid.Bool().Draw(t, "closed"),
 			Drain: rapid.SampledFrom([]string{"", "idle", "spot-notice"}).Draw(t, "drain"),
 		}
 		if b.Session > 0 {
--- a/internal/ledger/upgrade_test.go
+++ b/internal/ledger/upgrade_test.go
@@ -114,7 +114,7 @@
 		}
 		for _, b := range g.Binds {
 			got := rows[b.Name]
-			if got == nil || got.Token != b.Token || got.Session != b.Session || got.Addr != b.Addr || got.Drain != b.Drain || got.Quiet != b.Quiet ||
+			if got == nil || got.Token != b.Token || got.Session != b.Session || got.Addr != b.Addr || got.Drain != b.Drain || got.Suspected != b.Suspected ||
 				!slices.Equal(got.Tasks, b.Tasks) {
 				t.Fatalf("%+v became %+v", b, got)
 			}
--- a/internal/place/proofs.go
+++ b/internal/place/proofs.go
@@ -135,7 +135,7 @@
 			slog.Info("machine up", "machine", m, "session", next.Session, "type", next.Type, "zone", next.Zone, "spot", next.Spot)
 		})
 	}
-	next.Quiet = next.Quiet && !proof.Back
+	next.Suspected = next.Suspected && !proof.Back
 	if proof.Notice {
 		next.Drain = "spot-notice"
 	}
--- a/internal/place/reconcile.go
+++ b/internal/place/reconcile.go
@@ -32,7 +32,7 @@
 	}
 	// The rewrite that marked it raised its token: only a machine that was
 	// answered since then has seen it, and no copy of an older report has.
-	p.Back = rec.Quiet && !rec.Closed && rep.Token >= rec.Token
+	p.Back = rec.Suspected && !rec.Closed && rep.Token >= rec.Token
 	p.Behind = rep.Token > rec.Token
 	if rep.Session > rec.Session {
 		p.Joined = true
--- a/internal/rent/demand.go
+++ b/internal/rent/demand.go
@@ -86,7 +86,7 @@
 	for name, b := range r.view.Binds {
 		m := plan.Machine{
 			Name: name, Pool: plan.Pool{Type: b.Type, Zone: b.Zone, Spot: b.Spot},
-			AgeS: (float64(now.UnixMilli()) - float64(b.At)) / 1000, Open: b.Drain == "" && !b.Closed && !b.Quiet,
+			AgeS: (float64(now.UnixMilli()) - float64(b.At)) / 1000, Open: b.Drain == "" && !b.Closed && !b.Suspected,
 		}
 		if b.Session == 0 {
 			m.ReadyS = math.Max(0, r.bootS(b.Type)-m.AgeS)
@@ -99,7 +99,7 @@
 			if j == nil || j.Spec == nil {
 				continue
 			}
-			if b.Quiet && j.Active() && j.Spec.Service() { // may have to be replaced
+			if b.Suspected && j.Active() && j.Spec.Service() { // may have to be replaced
 				zones := place.ZonesOf(r.view, t.Job)
 				zones[b.Zone]--
 				in.Demands = append(in.Demands, plan.Demand{Job: j.Spec, Count: 1, Zones: zones})
--- a/internal/rent/edits.go
+++ b/internal/rent/edits.go
@@ -46,7 +46,7 @@
 	case e.drain != "":
 		return b.Drain == ""
 	}
-	return !b.Quiet
+	return !b.Suspected
 }
 
 // applyTo changes a machine's row in the group's next record.
@@ -56,7 +56,7 @@
 		return
 	}
 	row := d.Edit(machine)
-	row.Quiet = row.Quiet || e.quiet
+	row.Suspected = row.Suspected || e.quiet
 	row.Closed = row.Closed || e.close
 	if e.drain != "" {
 		row.Drain = e.drain
--- a/internal/rent/edits_test.go
+++ b/internal/rent/edits_test.go
@@ -114,7 +114,7 @@
 					}
 				case row == nil:
 					t.Fatalf("%s is missing", old.Name)
-				case edited && (row.Quiet != e.quiet || row.Drain != e.drain || row.Token <= old.Token):
+				case edited && (row.Suspected != e.quiet || row.Drain != e.drain || row.Token <= old.Token):
 					t.Fatalf("%s: %+v became %+v", old.Name, e, row)
 				case len(row.Tasks) != len(old.Tasks):
 					t.Fatalf("%s has %d tasks of %d", old.Name, len(row.Tasks), len(old.Tasks))
--- a/internal/rent/failures.go
+++ b/internal/rent/failures.go
@@ -62,7 +62,7 @@
 				r.probe(m, b)
 				lostIn[b.Zone]++
 			}
-			if (since > silence*2/3 || r.mute[m]) && !b.Quiet {
+			if (since > silence*2/3 || r.mute[m]) && !b.Suspected {
 				quiet = append(quiet, m)
 			}
 			if since > silence && r.unanswered[m].After(r.heard[m]) {
@@ -82,7 +82,7 @@
 	for _, m := range silent {
 		// A leader that is cut off from the workers hears none, and then the
 		// mesh may be silent too: others had the time to take the mark away.
-		if !r.view.Binds[m].Quiet || now.Sub(r.marked[m]) < report*4/3 {
+		if !r.view.Binds[m].Suspected || now.Sub(r.marked[m]) < report*4/3 {
 			continue
 		}
 		// When most machines of a zone are silent at once, and they are not just a
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -147,10 +147,10 @@
 		delete(r.refused, plan.Pool{Type: old.Type, Zone: old.Zone, Spot: old.Spot})
 		return
 	}
-	if _, ok := r.heard[m]; !ok && b.Session > 0 || old != nil && old.Quiet && !b.Quiet {
+	if _, ok := r.heard[m]; !ok && b.Session > 0 || old != nil && old.Suspected && !b.Suspected {
 		r.heard[m] = now // somebody hears it
 	}
-	if b.Quiet && (old == nil || !old.Quiet) {
+	if b.Suspected && (old == nil || !old.Suspected) {
 		r.marked[m] = now
 	}
 	for i := range b.Tasks {
--- a/internal/rent/rent_test.go
+++ b/internal/rent/rent_test.go
@@ -265,7 +265,7 @@
 		r.Send(func() {
 			n := 0
 			for _, b := range g.Binds {
-				if r.view.Binds[b.Name] != nil && r.view.Binds[b.Name].Quiet {
+				if r.view.Binds[b.Name] != nil && r.view.Binds[b.Name].Suspected {
 					n++
 				}
 			}
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -171,7 +171,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		b := newBench(ctx, t, &ledger.Machine{Session: 2, Token: 9, Quiet: true, Drain: "faulty"}, &ledger.Job{Tasks: 1})
+		b := newBench(ctx, t, &ledger.Machine{Session: 2, Token: 9, Suspected: true, Drain: "faulty"}, &ledger.Job{Tasks: 1})
 		before := b.row()
 		b.report(wire.Report{Session: 2, Seq: 7, Token: 8}) // from before the mark
 		b.report(wire.Report{Session: 1, Seq: 3, Token: 8}) // from an earlier session
@@ -179,7 +179,7 @@
 			t.Errorf("late copies made %+v of %+v", now, before)
 		}
 		b.report(wire.Report{Session: 2, Seq: 8, Token: 9}) // it has seen the mark
-		if now := b.row(); now.Quiet || now.Drain != "faulty" {
+		if now := b.row(); now.Suspected || now.Drain != "faulty" {
 			t.Errorf("heard again, but %+v", now)
 		}
 		time.Sleep(5 * time.Second) // beats pass
