--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -17,14 +17,14 @@
 	// Marks are completed tasks of jobs that are not over, until they are
 	// folded into the jobs' done sets.
 	Marks map[string][]int
-	Gone  []Gone // tasks that left with this write
+	Gone  []Departure // tasks that left with this write
 	Stamp uint64
 
 	same affix // what the rows of the record leave out
 }
 
-// Gone tells why a task left its machine.
-type Gone struct {
+// Departure tells why a task left its machine.
+type Departure struct {
 	Machine string
 	Job     string
 	N       int
@@ -33,7 +33,7 @@
 }
 
 // Task is the task's name.
-func (g *Gone) Task() string { return wire.TaskName(g.Job, g.N) }
+func (g *Departure) Task() string { return wire.TaskName(g.Job, g.N) }
 
 // Why a task left its machine, besides the workers' own reasons.
 const (
--- a/internal/ledger/grouprecord.go
+++ b/internal/ledger/grouprecord.go
@@ -345,9 +345,9 @@
 }
 
 // GoneBytes is what a task that left adds to a record.
-func GoneBytes(g *Gone) int { return len(encodeGone(g)) + rowSeparatorBytes }
+func GoneBytes(g *Departure) int { return len(encodeGone(g)) + rowSeparatorBytes }
 
-func encodeGone(g *Gone) string {
+func encodeGone(g *Departure) string {
 	why := strings.ReplaceAll(g.Why, " ", "-") // a worker's word, perhaps an unknown one
 	s := g.Machine + " " + g.Job[len(jobPrefix):] + "/" + strconv.Itoa(g.N) + " " + why
 	if g.RanS > 0 {
@@ -356,16 +356,16 @@
 	return s
 }
 
-func decodeGone(s string) (Gone, error) {
+func decodeGone(s string) (Departure, error) {
 	f := strings.Split(s, " ")
 	if len(f) < 3 {
-		return Gone{}, fmt.Errorf("gone %.80q", s)
+		return Departure{}, fmt.Errorf("gone %.80q", s)
 	}
 	job, n, ok := wire.SplitTask(jobPrefix + f[1])
 	if !ok {
-		return Gone{}, fmt.Errorf("gone %.80q", s)
+		return Departure{}, fmt.Errorf("gone %.80q", s)
 	}
-	g := Gone{Machine: f[0], Job: job, N: n, Why: f[2]}
+	g := Departure{Machine: f[0], Job: job, N: n, Why: f[2]}
 	if len(f) > 3 {
 		var err error
 		if g.RanS, err = strconv.ParseFloat(f[3], 64); err != nil {
--- a/internal/place/estimate.go
+++ b/internal/place/estimate.go
@@ -31,7 +31,7 @@
 )
 
 // Learn takes over what a group's new record says of completed tasks.
-func (e *Estimates) Learn(gone []ledger.Gone, jobs map[string]*ledger.Job) {
+func (e *Estimates) Learn(gone []ledger.Departure, jobs map[string]*ledger.Job) {
 	for _, g := range gone {
 		id := g.Job
 		j := jobs[id]
--- a/internal/place/estimate_test.go
+++ b/internal/place/estimate_test.go
@@ -24,7 +24,7 @@
 			id := fmt.Sprintf("req-%06d", i)
 			est := rapid.Float64Range(5, 100).Draw(t, "estimate")
 			jobs[id] = &ledger.Job{Spec: &wire.Job{ID: id, Class: "c", EstimateS: est}}
-			e.Learn([]ledger.Gone{
+			e.Learn([]ledger.Departure{
 				{Job: id, N: 0, Why: wire.WhyDone, RanS: est * factor},
 				{Job: id, N: 1, Why: wire.WhyStopped, RanS: 1000},
 				{Job: id, N: 2, Why: wire.WhyDone},
@@ -39,7 +39,7 @@
 		}
 		jobs[next.ID] = &ledger.Job{Spec: next}
 		for range enoughOf {
-			e.Learn([]ledger.Gone{{Job: next.ID, Why: wire.WhyDone, RanS: 77}}, jobs)
+			e.Learn([]ledger.Departure{{Job: next.ID, Why: wire.WhyDone, RanS: 77}}, jobs)
 		}
 		if got := e.RunS(next); math.Abs(got-77) > 1e-9 {
 			t.Fatalf("job's own tasks ran 77, expects %v", got)
--- a/internal/place/reconcile.go
+++ b/internal/place/reconcile.go
@@ -8,7 +8,7 @@
 // Proof is what a report proves of a machine's record.
 type Proof struct {
 	Orders []wire.Order
-	Gone   []ledger.Gone      // bound tasks that are certainly not on the machine any more
+	Gone   []ledger.Departure // bound tasks that are certainly not on the machine any more
 	Fence  []ledger.BoundTask // tasks of cancelled jobs that a late launch could still start
 	Joined bool               // the report opens a session that the record doesn't know
 	Behind bool               // the worker has seen a token beyond the record's
@@ -95,7 +95,7 @@
 }
 
 func (p *Proof) gone(rec *ledger.Machine, b *ledger.BoundTask, why string) {
-	p.Gone = append(p.Gone, ledger.Gone{Machine: rec.Name, Job: b.Job, N: b.N, Why: why})
+	p.Gone = append(p.Gone, ledger.Departure{Machine: rec.Name, Job: b.Job, N: b.N, Why: why})
 }
 
 // remnant orders what is to happen to an entry that nothing is bound to.
--- a/internal/rent/failures.go
+++ b/internal/rent/failures.go
@@ -12,7 +12,7 @@
 
 // judge tells a faulty machine from a faulty job: a job fails on every
 // machine, a faulty machine fails whatever job it is given.
-func (r *Renter) judge(gone []ledger.Gone) {
+func (r *Renter) judge(gone []ledger.Departure) {
 	for i := range gone {
 		g := &gone[i]
 		m := g.Machine
