--- a/internal/ledger/pipeline.go
+++ b/internal/ledger/pipeline.go
@@ -65,7 +65,7 @@
 	if after.Spec.Rank > j.Spec.Rank {
 		spec := *j.Spec
 		spec.Rank = after.Spec.Rank
-		j.Spec, j.Lent, lifted = &spec, true, true
+		j.Spec, j.PriorityInherited, lifted = &spec, true, true
 	}
 	due, tail := after.due()
 	if tail += after.Spec.EstimateS; due > 0 && (j.DueAt == 0 || latest(due, tail) < latest(j.DueAt, j.TailS)) {
--- a/internal/ledger/upgrade_test.go
+++ b/internal/ledger/upgrade_test.go
@@ -57,7 +57,7 @@
 
 // What derives from other jobs is not stored.
 func TestDerivedIsNotStored(t *testing.T) {
-	b, _ := json.Marshal(&Job{Tasks: 1, At: 2, Blocked: true, ReadyAt: 3, Derived: true, Lent: true, DueAt: 4, TailS: 5})
+	b, _ := json.Marshal(&Job{Tasks: 1, At: 2, Blocked: true, ReadyAt: 3, Derived: true, PriorityInherited: true, DueAt: 4, TailS: 5})
 	if string(b) != `{"n":1,"at":2}` {
 		t.Errorf("%s", b)
 	}
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -425,7 +425,7 @@
 			in(p, func() {
 				now := time.Now()
 				spec := &wire.Job{ID: "req-000002", Team: "red", Shape: wire.ShapeArray, Rank: wire.RankHigh, Tasks: 1, CPUs: 1, MemoryGB: 1, EstimateS: 10}
-				j := &ledger.Job{Spec: spec, Tasks: 1, At: now.Add(-20 * time.Second).UnixMilli(), Lent: lent, DueAt: now.Add(due).UnixMilli()}
+				j := &ledger.Job{Spec: spec, Tasks: 1, At: now.Add(-20 * time.Second).UnixMilli(), PriorityInherited: lent, DueAt: now.Add(due).UnixMilli()}
 				p.active["req-000002"], p.view.Jobs["req-000002"] = j, j
 				p.view.Jobs["req-000001"].Spec.EstimateS = 0.1 // leaves the cluster to it soon
 				p.cfg.Params.Objectives = []config.Objective{{Kind: "guarantee", WithinS: 5}}
