--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -76,9 +76,9 @@
 // once its predecessors are done.
 func (j *Job) Active() bool { return j.State == "" }
 
-// Since is the time of day from which the job could run, ms; while it is blocked,
+// RunnableSince is the time of day from which the job could run, ms; while it is blocked,
 // that of its submission.
-func (j *Job) Since() int64 {
+func (j *Job) RunnableSince() int64 {
 	if j.Blocked {
 		return j.At
 	}
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -198,7 +198,7 @@
 	if r.owed == nil {
 		claims := make([]Claim, 0, len(p.active))
 		for id, j := range p.active {
-			claims = append(claims, Claim{j.Spec, j.Since(), j.Tasks - p.view.DoneCount(id)})
+			claims = append(claims, Claim{j.Spec, j.RunnableSince(), j.Tasks - p.view.DoneCount(id)})
 		}
 		r.owed = Owed(claims, p.team)
 	}
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -59,9 +59,9 @@
 		}
 		w := waiting{id: id, job: j, hand: mine[j.Spec.Team].Stamp, most: left}
 		run := p.runs.RunS(j.Spec)
-		age := float64(now.UnixMilli()-j.Since()) / 1000
+		age := float64(now.UnixMilli()-j.RunnableSince()) / 1000
 		if age > starved && left == j.Tasks {
-			w.late, w.deadline = -1, float64(j.Since())
+			w.late, w.deadline = -1, float64(j.RunnableSince())
 			if !j.Spec.Service() {
 				w.most = 1
 			}
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -135,7 +135,7 @@
 	// place before that. Prod does. A stage whose rank is lent by the pipeline's last
 	// job takes a place only when its part of that deadline presses.
 	within, _ := p.cfg.StartWithin(spec.Class)
-	age := r.now.Sub(time.UnixMilli(w.job.Since())).Seconds()
+	age := r.now.Sub(time.UnixMilli(w.job.RunnableSince())).Seconds()
 	patient := !w.job.PriorityInherited && (spec.Rank == wire.RankProd || age >= (within-p.cfg.Params.Workers.ReportS/3)/2) || w.hurried()
 	seeks := p.rng.Float64() < r.tries[spec.Rank]
 	sample := avoid(p.candidates(r, spec))
--- a/internal/place/stage.go
+++ b/internal/place/stage.go
@@ -22,12 +22,12 @@
 			out[i] += startS
 		}
 	} else {
-		out = cfg.Deadlines(spec.Class, spec.DeadlineS, runS, float64(j.Since()-j.At)/1000)
+		out = cfg.Deadlines(spec.Class, spec.DeadlineS, runS, float64(j.RunnableSince()-j.At)/1000)
 	}
 	if j.DueAt == 0 {
 		return out
 	}
-	due := float64(j.DueAt-j.Since()) / 1000
+	due := float64(j.DueAt-j.RunnableSince()) / 1000
 	from := math.Max(nowS, startS)
 	if due > from {
 		due = from + (due-from)*runS/math.Max(runS+j.TailS, 1e-9)
--- a/internal/rent/demand.go
+++ b/internal/rent/demand.go
@@ -59,7 +59,7 @@
 			return
 		}
 		// The first deadline that a machine rented now can still keep.
-		age, due := float64(now.UnixMilli()-j.Since())/1000, 0.0
+		age, due := float64(now.UnixMilli()-j.RunnableSince())/1000, 0.0
 		run := r.runs.RunS(j.Spec)
 		deadlines := place.Deadlines(r.cfg, j, run, age, age+startS)
 		for _, d := range deadlines {
