--- a/internal/frontdoor/bench_test.go
+++ b/internal/frontdoor/bench_test.go
@@ -39,8 +39,8 @@
 	reporter := reports.Start(ctx, cfg, 1, l, reports.Links{
 		Elsewhere: func() string { return "" },
 		Alone:     func() bool { return false },
-		Note:      func(place.Note, time.Duration) {},
-		Tell:      func(string, place.Note) bool { return false },
+		Note:      func(place.Observation, time.Duration) {},
+		Tell:      func(string, place.Observation) bool { return false },
 	})
 	front := Start(ctx, cfg, l, reporter, nil)
 	front.SetTypes([]wire.MachineType{{Name: "s", CPUs: 16, MemoryGB: 128, Zones: []string{"a"}}})
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -31,7 +31,7 @@
 	AgeMS  int64    `json:"ageMs"` // of the sender's view; below 0: it has none
 	Heard  []string `json:"heard,omitempty"`
 	// Note is for the receiver to write, if it places.
-	Note *place.Note `json:"note,omitempty"`
+	Note *place.Observation `json:"note,omitempty"`
 }
 
 // Mesh is the actor that knows the other controllers.
@@ -45,7 +45,7 @@
 	best    atomic.Pointer[peer]
 	alone   atomic.Bool
 	onHeard atomic.Pointer[func([]string)]
-	onNote  atomic.Pointer[func(place.Note)]
+	onNote  atomic.Pointer[func(place.Observation)]
 	client  *http.Client
 }
 
@@ -100,11 +100,11 @@
 const queued = 64
 
 // OnNote sets the receiver of what reports prove.
-func (m *Mesh) OnNote(f func(place.Note)) { m.onNote.Store(&f) }
+func (m *Mesh) OnNote(f func(place.Observation)) { m.onNote.Store(&f) }
 
 // Tell passes on what a report proves; false if the other controller is out of
 // reach. That it was told proves nothing.
-func (m *Mesh) Tell(member string, n place.Note) bool {
+func (m *Mesh) Tell(member string, n place.Observation) bool {
 	p := m.peers[member]
 	if p == nil || !p.up.Load() {
 		return false
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -24,7 +24,7 @@
 type node struct {
 	*Mesh
 	heard []string
-	notes []place.Note
+	notes []place.Observation
 }
 
 // pair connects two controllers over stand-in connections; each has a view that
@@ -49,7 +49,7 @@
 				return time.Time{}
 			})
 			n.OnHeard(func(m []string) { n.heard = append(n.heard, m...) })
-			n.OnNote(func(x place.Note) { n.notes = append(n.notes, x) })
+			n.OnNote(func(x place.Observation) { n.notes = append(n.notes, x) })
 			go n.Serve(pipes.Listen(name, name+":1"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				b, _ := io.ReadAll(r.Body)
 				w.WriteHeader(http.StatusCreated)
@@ -72,7 +72,7 @@
 // carry the news itself. After the cut all is as before.
 func TestMeshThroughACut(t *testing.T) {
 	pair(t, func(net *standin.Net, a, b *node, _ map[string]bool) {
-		note := place.Note{Report: &wire.Report{Machine: "i-1", Addr: "x:1", Type: "t", Zone: "z", Session: 1}, RanS: map[string]float64{"req-000001/0": 2.5}}
+		note := place.Observation{Report: &wire.Report{Machine: "i-1", Addr: "x:1", Type: "t", Zone: "z", Session: 1}, RanS: map[string]float64{"req-000001/0": 2.5}}
 		a.Heard([]string{"i-1", "i-2"})
 		if !a.Tell("n1", note) || a.Tell("n9", note) {
 			t.Error("n1 out of reach, or n9 within")
--- a/internal/place/observations.go
+++ b/internal/place/observations.go
@@ -8,22 +8,22 @@
 	"lynxledge/wire"
 )
 
-// Note is a report that proves something of its machine's record, and how long
+// Observation is a report that proves something of its machine's record, and how long
 // the tasks ran that it calls ended, as far as its hearer knows.
-type Note struct {
+type Observation struct {
 	Report *wire.Report       `json:"report"`
 	RanS   map[string]float64 `json:"ranS,omitempty"`
 }
 
 type noted struct {
-	Note
+	Observation
 	due   time.Time // when this process writes it, if no other has
 	frees int       // tasks that it shows ended: places that stand empty until it is written
 }
 
 // Note takes what a report proves; it is written at once if the teams are
 // handed to this process, else after wait unless another process has.
-func (p *Placer) Note(n Note, wait time.Duration) {
+func (p *Placer) Note(n Observation, wait time.Duration) {
 	p.Post(func() {
 		rec := p.view.Binds[n.Report.Machine]
 		if rec == nil {
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -59,9 +59,9 @@
 }
 
 // endedOn is a report that a machine's one task has completed.
-func endedOn(g *ledger.Group, i int) Note {
+func endedOn(g *ledger.Group, i int) Observation {
 	b := g.Binds[i]
-	return Note{Report: &wire.Report{Machine: b.Name, Addr: "x:1", Type: "s", Zone: "a", Session: 1, Seq: 1, Token: 9, Tasks: []wire.TaskReport{
+	return Observation{Report: &wire.Report{Machine: b.Name, Addr: "x:1", Type: "s", Zone: "a", Session: 1, Seq: 1, Token: 9, Tasks: []wire.TaskReport{
 		{Task: b.Tasks[0].Name(), Attempt: 1, State: wire.TaskExited, Why: wire.WhyDone},
 	}}}
 }
@@ -555,7 +555,7 @@
 				}
 				report.Tasks = append(report.Tasks, task)
 			}
-			p.Note(Note{Report: report}, 0)
+			p.Note(Observation{Report: report}, 0)
 		}
 		time.Sleep(10 * time.Second)
 		in(p, func() {
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -31,9 +31,9 @@
 	Alone func() bool
 	// Note gives what a report proves to this controller's placer, which writes
 	// it after wait unless another has.
-	Note func(n place.Note, wait time.Duration)
+	Note func(n place.Observation, wait time.Duration)
 	// Tell passes it on to another controller; false if that is out of reach.
-	Tell func(member string, n place.Note) bool
+	Tell func(member string, n place.Observation) bool
 }
 
 // Reports is the actor that hears the workers.
@@ -300,7 +300,7 @@
 	if !proof.Changes() {
 		return ""
 	}
-	n := place.Note{Report: rep}
+	n := place.Observation{Report: rep}
 	for i := range proof.Gone {
 		task := proof.Gone[i].Task()
 		if begun, ok := k.began[task]; ok {
