--- a/internal/place/observations.go
+++ b/internal/place/observations.go
@@ -15,7 +15,7 @@
 	RanS   map[string]float64 `json:"ranS,omitempty"`
 }
 
-type noted struct {
+type pendingObservation struct {
 	Observation
 	due   time.Time // when this process writes it, if no other has
 	frees int       // tasks that it shows ended: places that stand empty until it is written
@@ -49,15 +49,15 @@
 			maps.Copy(ran, n.RanS)
 			n.RanS = ran
 		}
-		p.file(rec.Group, rec.Name, &noted{n, due, ended(n.Report)})
+		p.file(rec.Group, rec.Name, &pendingObservation{n, due, ended(n.Report)})
 		p.schedule()
 	})
 }
 
 // file puts a note with those of its group.
-func (p *Placer) file(group, machine string, n *noted) {
+func (p *Placer) file(group, machine string, n *pendingObservation) {
 	if p.notes[group] == nil {
-		p.notes[group] = map[string]*noted{}
+		p.notes[group] = map[string]*pendingObservation{}
 	}
 	p.notes[group][machine] = n
 }
@@ -74,7 +74,7 @@
 }
 
 // proves tells whether a note still has anything to write.
-func (p *Placer) proves(rec *ledger.Machine, n *noted) bool {
+func (p *Placer) proves(rec *ledger.Machine, n *pendingObservation) bool {
 	proof := Reconcile(rec, n.Report, p.view.Active)
 	return proof.Changes()
 }
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -55,12 +55,12 @@
 	starts map[string]*Node // machines that are coming up
 	tally  Tally
 
-	notes   map[string]map[string]*noted // group, machine
-	proved  time.Time                    // when somebody last wrote what reports proved
-	ripe    map[string]time.Time         // complete jobs that are not called done yet, since
-	large   map[string]bool              // groups whose records can hardly be written, or not at all
-	crowded map[string]bool              // groups whose records are full before their machines are
-	fallen  map[string]*ledger.Job       // cancelled with a predecessor, which their own records don't say yet
+	notes   map[string]map[string]*pendingObservation // group, machine
+	proved  time.Time                                 // when somebody last wrote what reports proved
+	ripe    map[string]time.Time                      // complete jobs that are not called done yet, since
+	large   map[string]bool                           // groups whose records can hardly be written, or not at all
+	crowded map[string]bool                           // groups whose records are full before their machines are
+	fallen  map[string]*ledger.Job                    // cancelled with a predecessor, which their own records don't say yet
 
 	busy      bool
 	scheduled bool
@@ -77,7 +77,7 @@
 		types: map[string]*wire.MachineType{}, active: map[string]*ledger.Job{}, runs: NewEstimates(), low: map[string]int{},
 		images: map[string][]image{}, failed: map[string]*failure{}, shaky: map[string]time.Time{}, yields: map[string]time.Time{},
 		nodes: map[string]*Node{}, pools: map[pool]stock{}, starts: map[string]*Node{}, tally: Tally{},
-		notes: map[string]map[string]*noted{}, ripe: map[string]time.Time{}, large: map[string]bool{}, crowded: map[string]bool{}, fallen: map[string]*ledger.Job{},
+		notes: map[string]map[string]*pendingObservation{}, ripe: map[string]time.Time{}, large: map[string]bool{}, crowded: map[string]bool{}, fallen: map[string]*ledger.Job{},
 	}
 	l.Subscribe(func(d ledger.Delta) { p.Send(func() { p.apply(d) }) })
 	p.Every(p.reportS(1.0/6), p.schedule)
--- a/internal/place/proofs.go
+++ b/internal/place/proofs.go
@@ -120,7 +120,7 @@
 }
 
 // prove rewrites a machine's row by what a report proves.
-func (p *Placer) prove(r *round, rec *ledger.Machine, n *noted, proof *Proof) {
+func (p *Placer) prove(r *round, rec *ledger.Machine, n *pendingObservation, proof *Proof) {
 	d := p.open(r, rec.Group)
 	if d == nil {
 		return
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -106,10 +106,10 @@
 		pick := func(aWaits, bWaits time.Duration) (first []string) {
 			in(p, func() {
 				now := time.Now()
-				p.file("a", "i-a000", &noted{endedOn(groupOf("a", 1), 0), now.Add(-aWaits), 1})
+				p.file("a", "i-a000", &pendingObservation{endedOn(groupOf("a", 1), 0), now.Add(-aWaits), 1})
 				for i := range 30 {
 					n := endedOn(groupOf("b", 30), i)
-					p.file("b", n.Report.Machine, &noted{n, now.Add(-bWaits), 1})
+					p.file("b", n.Report.Machine, &pendingObservation{n, now.Add(-bWaits), 1})
 				}
 				r := &round{
 					now: now, limit: 1, drafts: map[string]*draft{}, folds: map[string]*ledger.DoneChunk{}, ends: map[string]int{}, marks: map[string]int{},
@@ -498,7 +498,7 @@
 			group := groupOf("a", machines)
 			for i := range machines {
 				n := endedOn(group, i)
-				p.file("a", n.Report.Machine, &noted{n, time.Now(), 1})
+				p.file("a", n.Report.Machine, &pendingObservation{n, time.Now(), 1})
 			}
 			r := &round{
 				now: time.Now(), limit: 8, drafts: map[string]*draft{}, folds: map[string]*ledger.DoneChunk{}, ends: map[string]int{}, marks: map[string]int{},
