--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -92,11 +92,11 @@
 	return n.Open && n.Used.CPUs < n.Type.CPUs-slack && (n.Type.MemoryGB == 0 || n.Used.Mem < n.Type.MemoryGB-slack)
 }
 
-// Tally is what a team's tasks use until they are proved gone.
-type Tally map[string]Res
+// Usage is what a team's tasks use until they are proved gone.
+type Usage map[string]Res
 
 // WithinLimit tells whether a team may take more.
-func (t Tally) WithinLimit(team config.Team, more Res) bool {
+func (t Usage) WithinLimit(team config.Team, more Res) bool {
 	u := t[team.Name].Plus(more, 1)
 	return (team.CPUsMax == 0 || u.CPUs <= team.CPUsMax+slack) &&
 		(team.GPUsMax == 0 || u.GPUs <= team.GPUsMax+slack)
@@ -104,7 +104,7 @@
 
 // WithinGuarantee tells whether a team with more still has no more than it is
 // guaranteed.
-func (t Tally) WithinGuarantee(team config.Team, more Res) bool {
+func (t Usage) WithinGuarantee(team config.Team, more Res) bool {
 	u := t[team.Name].Plus(more, 1)
 	return u.CPUs <= team.CPUs+slack && u.GPUs <= team.GPUs+slack
 }
@@ -227,7 +227,7 @@
 		}
 		return strings.Compare(a.Job.ID, b.Job.ID)
 	})
-	used := Tally{}
+	used := Usage{}
 	owed := map[string]bool{}
 	for _, c := range jobs {
 		all := Res{}.Plus(Of(c.Job), float64(c.Left))
@@ -249,7 +249,7 @@
 // Preempt finds the cheapest set of tasks to stop for a task of job j. Work
 // of lower rank may go; with the team inside its guarantee so may work of any
 // rank that another team runs beyond its own. Nothing else may.
-func Preempt(j *wire.Job, zones Zones, offers Offers, nodes []*Node, tally Tally, team func(string) config.Team) *Victims {
+func Preempt(j *wire.Job, zones Zones, offers Offers, nodes []*Node, tally Usage, team func(string) config.Team) *Victims {
 	var best *Victims
 	bestScore := 0.0
 	need := Of(j)
@@ -269,7 +269,7 @@
 	return best
 }
 
-func victims(j *wire.Job, n *Node, need Res, guaranteed bool, tally Tally, team func(string) config.Team) *Victims {
+func victims(j *wire.Job, n *Node, need Res, guaranteed bool, tally Usage, team func(string) config.Team) *Victims {
 	limit := Capacity(n.Type)
 	type candidate struct {
 		i    int
@@ -306,7 +306,7 @@
 	})
 	v := &Victims{Node: n}
 	used := n.Used
-	left := Tally{}
+	left := Usage{}
 	for _, c := range cands {
 		if used.Plus(need, 1).Fits(limit) {
 			break
--- a/internal/place/choose_test.go
+++ b/internal/place/choose_test.go
@@ -73,7 +73,7 @@
 	team := func(n string) config.Team { return teams[n] }
 	rapid.Check(t, func(t *rapid.T) {
 		j, nodes := genSpec(t, 1), genNodes(t)
-		tally := Tally{}
+		tally := Usage{}
 		for _, n := range nodes {
 			for _, task := range n.Tasks {
 				tally[task.Job.Team] = tally[task.Job.Team].Plus(Of(task.Job), 1)
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -53,7 +53,7 @@
 	roomy  []*Node // those with room
 	pools  map[pool]stock
 	starts map[string]*Node // machines that are coming up
-	tally  Tally
+	tally  Usage
 
 	notes   map[string]map[string]*pendingObservation // group, machine
 	proved  time.Time                                 // when somebody last wrote what reports proved
@@ -76,7 +76,7 @@
 		view:  ledger.NewRunningView(ledger.ChunkTasks(s.ValueKB)),
 		types: map[string]*wire.MachineType{}, active: map[string]*ledger.Job{}, runs: NewEstimates(), low: map[string]int{},
 		images: map[string][]image{}, failed: map[string]*failure{}, shaky: map[string]time.Time{}, yields: map[string]time.Time{},
-		nodes: map[string]*Node{}, pools: map[pool]stock{}, starts: map[string]*Node{}, tally: Tally{},
+		nodes: map[string]*Node{}, pools: map[pool]stock{}, starts: map[string]*Node{}, tally: Usage{},
 		notes: map[string]map[string]*pendingObservation{}, ripe: map[string]time.Time{}, large: map[string]bool{}, crowded: map[string]bool{}, fallen: map[string]*ledger.Job{},
 	}
 	l.Subscribe(func(d ledger.Delta) { p.Send(func() { p.apply(d) }) })
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -113,7 +113,7 @@
 				}
 				r := &round{
 					now: now, limit: 1, drafts: map[string]*draft{}, folds: map[string]*ledger.DoneChunk{}, ends: map[string]int{}, marks: map[string]int{},
-					jobs: map[string]uint64{}, hands: map[string]uint64{}, tally: Tally{},
+					jobs: map[string]uint64{}, hands: map[string]uint64{}, tally: Usage{},
 				}
 				p.takeNotes(r, true, false)
 				for g := range r.drafts {
@@ -236,7 +236,7 @@
 				}
 				r := &round{
 					now: time.Now(), limit: 8, drafts: map[string]*draft{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{},
-					tally: Tally{}, judged: map[*Node]bool{}, tries: map[wire.Rank]float64{wire.RankProd: 1},
+					tally: Usage{}, judged: map[*Node]bool{}, tries: map[wire.Rank]float64{wire.RankProd: 1},
 				}
 				p.placeJob(r, q[0])
 				if n := len(r.judged); n != maxSample {
@@ -432,7 +432,7 @@
 				p.view.Assignments["red"] = &ledger.Assignment{Member: "n0", Boot: p.boot}
 				r := &round{
 					now: now, limit: 8, drafts: map[string]*draft{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{},
-					tally: Tally{}, judged: map[*Node]bool{}, tries: map[wire.Rank]float64{wire.RankHigh: 1}, starts: map[string][]wire.Order{},
+					tally: Usage{}, judged: map[*Node]bool{}, tries: map[wire.Rank]float64{wire.RankHigh: 1}, starts: map[string][]wire.Order{},
 					stops: map[string][]wire.Order{}, rows: map[string]*ledger.Machine{},
 				}
 				for _, w := range p.queue(p.mine(), now) {
@@ -502,7 +502,7 @@
 			}
 			r := &round{
 				now: time.Now(), limit: 8, drafts: map[string]*draft{}, folds: map[string]*ledger.DoneChunk{}, ends: map[string]int{}, marks: map[string]int{},
-				jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{}, tally: Tally{}, rows: map[string]*ledger.Machine{}, starts: map[string][]wire.Order{},
+				jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{}, tally: Usage{}, rows: map[string]*ledger.Machine{}, starts: map[string][]wire.Order{},
 			}
 			if full := p.view.Groups["a"].Kept(); full < p.valueBytes(recordFill)*9/10 {
 				t.Errorf("%d bytes: the record has room anyhow", full)
--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -22,7 +22,7 @@
 	jobs   map[string]uint64            // guarded jobs
 	hands  map[string]uint64
 	placed map[string]int
-	tally  Tally
+	tally  Usage
 	owed   map[string]bool
 	starts map[string][]wire.Order
 	stops  map[string][]wire.Order
