--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -78,8 +78,8 @@
 	Used  Res  // of tasks that are to stay
 	Tasks []Task
 	Image func(image string) bool
-	// Apart: using it takes a write of its own. Few groups are written at once.
-	Apart bool
+	// NeedsOwnWrite: using it takes a write of its own. Few groups are written at once.
+	NeedsOwnWrite bool
 
 	roomy int         // place in the index of nodes with room, from 1
 	all   int         // place among all nodes, from 1
@@ -204,7 +204,7 @@
 	if j.Spread {
 		s += 8 * float64(zones[n.Zone]) / float64(j.Tasks)
 	}
-	if n.Apart {
+	if n.NeedsOwnWrite {
 		s += 0.25
 	}
 	return s
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -102,7 +102,7 @@
 	if !r.full() {
 		for _, n := range Sample(p.roomy, p.rng) {
 			if r.drafts[n.Group] == nil && usable(n) {
-				n.Apart = true
+				n.NeedsOwnWrite = true
 				list = append(list, n)
 			}
 		}
--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -114,7 +114,7 @@
 	r.drafts[group] = d
 	for _, b := range d.Binds {
 		if n := p.nodes[b.Name]; n != nil {
-			n.Apart = false
+			n.NeedsOwnWrite = false
 		}
 	}
 	return d
