--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -58,13 +58,13 @@
 
 // Task is one task on a node, as far as the choice cares.
 type Task struct {
-	Job   *wire.Job // nil when its job is unknown
-	N     int
-	Stops bool      // ordered to stop
-	Owed  bool      // its job fits its team's guarantee with the team's earlier jobs
-	Last  bool      // its job has no task waiting: stopping it delays the job
-	Since time.Time // when it was first seen bound
-	Spent float64   // seconds since then
+	Job        *wire.Job // nil when its job is unknown
+	N          int
+	Stops      bool      // ordered to stop
+	Guaranteed bool      // its job fits its team's guarantee with the team's earlier jobs
+	Last       bool      // its job has no task waiting: stopping it delays the job
+	Since      time.Time // when it was first seen bound
+	Spent      float64   // seconds since then
 }
 
 // Node is a machine that may take tasks.
@@ -281,7 +281,7 @@
 			continue
 		}
 		lower := t.Job.Rank < j.Rank
-		if !lower && (!guaranteed || t.Owed || t.Job.Team == j.Team) {
+		if !lower && (!guaranteed || t.Guaranteed || t.Job.Team == j.Team) {
 			continue
 		}
 		lost := t.Spent
--- a/internal/place/choose_test.go
+++ b/internal/place/choose_test.go
@@ -37,7 +37,7 @@
 			j := genSpec(t, 100+k)
 			if n.Used.Plus(Of(j), 1).Fits(Capacity(n.Type)) {
 				n.Used = n.Used.Plus(Of(j), 1)
-				n.Tasks = append(n.Tasks, Task{Job: j, N: i, Owed: rapid.Bool().Draw(t, "owed")})
+				n.Tasks = append(n.Tasks, Task{Job: j, N: i, Guaranteed: rapid.Bool().Draw(t, "owed")})
 			}
 		}
 		nodes = append(nodes, n)
@@ -94,7 +94,7 @@
 			if victim.Job.Rank < j.Rank {
 				continue
 			}
-			if victim.Owed {
+			if victim.Guaranteed {
 				t.Fatal("what a team is guaranteed is taken from it")
 			}
 			if victim.Job.Team == j.Team {
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -214,7 +214,7 @@
 			}
 			j := p.active[t.Job.ID]
 			t.Stops = t.Stops || j == nil
-			t.Owed = r.owed[t.Job.ID]
+			t.Guaranteed = r.owed[t.Job.ID]
 			t.Last = j != nil && p.view.Waits(t.Job.ID, j) <= 0
 			t.Spent = r.now.Sub(t.Since).Seconds()
 		}
