--- a/internal/frontdoor/submit.go
+++ b/internal/frontdoor/submit.go
@@ -110,7 +110,7 @@
 	if j.Service() {
 		n = float64(j.Tasks)
 	}
-	if !(place.Usage{}).WithinLimit(team, place.Res{}.Plus(place.Of(j), n)) {
+	if !(place.Usage{}).WithinLimit(team, place.Resources{}.Plus(place.Of(j), n)) {
 		return http.StatusUnprocessableEntity, "needs more than the team's limit"
 	}
 	return 0, ""
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -14,29 +14,29 @@
 	"lynxledge/wire"
 )
 
-// Res is an amount of a machine.
-type Res struct{ CPUs, GPUs, Mem float64 }
+// Resources is an amount of a machine.
+type Resources struct{ CPUs, GPUs, Mem float64 }
 
 // Of is what a task of a job takes.
-func Of(j *wire.Job) Res { return Res{j.CPUs, j.GPUs, j.MemoryGB} }
+func Of(j *wire.Job) Resources { return Resources{j.CPUs, j.GPUs, j.MemoryGB} }
 
 // Capacity is what a machine of a type has.
-func Capacity(t *wire.MachineType) Res { return Res{t.CPUs, t.GPUs, t.MemoryGB} }
+func Capacity(t *wire.MachineType) Resources { return Resources{t.CPUs, t.GPUs, t.MemoryGB} }
 
 const slack = 1e-6 // sums of decimal amounts
 
 // Plus adds o n times.
-func (r Res) Plus(o Res, n float64) Res {
-	return Res{r.CPUs + n*o.CPUs, r.GPUs + n*o.GPUs, r.Mem + n*o.Mem}
+func (r Resources) Plus(o Resources, n float64) Resources {
+	return Resources{r.CPUs + n*o.CPUs, r.GPUs + n*o.GPUs, r.Mem + n*o.Mem}
 }
 
 // Fits tells whether r is within limit.
-func (r Res) Fits(limit Res) bool {
+func (r Resources) Fits(limit Resources) bool {
 	return r.CPUs <= limit.CPUs+slack && r.GPUs <= limit.GPUs+slack && r.Mem <= limit.Mem+slack
 }
 
 // Share is the largest share that r takes of a machine.
-func (r Res) Share(machine Res) float64 {
+func (r Resources) Share(machine Resources) float64 {
 	s := 0.0
 	for _, p := range [][2]float64{{r.CPUs, machine.CPUs}, {r.GPUs, machine.GPUs}, {r.Mem, machine.Mem}} {
 		switch {
@@ -74,8 +74,8 @@
 	Type  *wire.MachineType
 	Zone  string
 	Spot  bool
-	Open  bool // tasks may be bound to it
-	Used  Res  // of tasks that are to stay
+	Open  bool      // tasks may be bound to it
+	Used  Resources // of tasks that are to stay
 	Tasks []Task
 	Image func(image string) bool
 	// NeedsOwnWrite: using it takes a write of its own. Few groups are written at once.
@@ -93,10 +93,10 @@
 }
 
 // Usage is what a team's tasks use until they are proved gone.
-type Usage map[string]Res
+type Usage map[string]Resources
 
 // WithinLimit tells whether a team may take more.
-func (t Usage) WithinLimit(team config.Team, more Res) bool {
+func (t Usage) WithinLimit(team config.Team, more Resources) bool {
 	u := t[team.Name].Plus(more, 1)
 	return (team.CPUsMax == 0 || u.CPUs <= team.CPUsMax+slack) &&
 		(team.GPUsMax == 0 || u.GPUs <= team.GPUsMax+slack)
@@ -104,7 +104,7 @@
 
 // WithinGuarantee tells whether a team with more still has no more than it is
 // guaranteed.
-func (t Usage) WithinGuarantee(team config.Team, more Res) bool {
+func (t Usage) WithinGuarantee(team config.Team, more Resources) bool {
 	u := t[team.Name].Plus(more, 1)
 	return u.CPUs <= team.CPUs+slack && u.GPUs <= team.GPUs+slack
 }
@@ -185,7 +185,7 @@
 
 // score orders the nodes that have room; the lowest is best. Its parts are
 // shares of one machine.
-func score(j *wire.Job, zones Zones, offers Offers, n *Node, limit Res) float64 {
+func score(j *wire.Job, zones Zones, offers Offers, n *Node, limit Resources) float64 {
 	s := 1 - n.Used.Share(limit)
 	if !n.Image(j.Image) {
 		if j.Rank >= wire.RankHigh {
@@ -230,7 +230,7 @@
 	used := Usage{}
 	owed := map[string]bool{}
 	for _, c := range jobs {
-		all := Res{}.Plus(Of(c.Job), float64(c.Left))
+		all := Resources{}.Plus(Of(c.Job), float64(c.Left))
 		if used.WithinGuarantee(team(c.Job.Team), all) {
 			owed[c.Job.ID] = true
 		}
@@ -269,7 +269,7 @@
 	return best
 }
 
-func victims(j *wire.Job, n *Node, need Res, guaranteed bool, tally Usage, team func(string) config.Team) *Victims {
+func victims(j *wire.Job, n *Node, need Resources, guaranteed bool, tally Usage, team func(string) config.Team) *Victims {
 	limit := Capacity(n.Type)
 	type candidate struct {
 		i    int
--- a/internal/place/choose_test.go
+++ b/internal/place/choose_test.go
@@ -135,8 +135,8 @@
 		return &wire.Job{ID: fmt.Sprintf("req-%06d", n), Shape: wire.ShapeService, Rank: wire.RankProd, Tasks: 1 + n%2, CPUs: 4, Image: "x", Spread: spread}
 	}
 	has := func(string) bool { return true }
-	full := &Node{Name: "f", Type: &testTypes[0], Zone: "p", Image: has, Used: Res{CPUs: 4}, Tasks: []Task{{Job: replica(2, false)}}}
-	other := &Node{Name: "g", Type: &testTypes[0], Zone: "p", Image: has, Used: Res{CPUs: 4}, Tasks: []Task{{Job: replica(4, false)}}}
+	full := &Node{Name: "f", Type: &testTypes[0], Zone: "p", Image: has, Used: Resources{CPUs: 4}, Tasks: []Task{{Job: replica(2, false)}}}
+	other := &Node{Name: "g", Type: &testTypes[0], Zone: "p", Image: has, Used: Resources{CPUs: 4}, Tasks: []Task{{Job: replica(4, false)}}}
 	free := &Node{Name: "h", Type: &testTypes[0], Zone: "q", Image: has}
 	nodes := []*Node{full, other, free}
 	first := Move(replica(1, true), Zones{"q": 1}, nodes)
--- a/internal/place/nodes.go
+++ b/internal/place/nodes.go
@@ -14,8 +14,8 @@
 
 // stock is what a pool has.
 type stock struct {
-	open int // machines that may take tasks
-	kept Res // what replicas hold of them
+	open int       // machines that may take tasks
+	kept Resources // what replicas hold of them
 }
 
 type image struct {
@@ -162,7 +162,7 @@
 func (p *Placer) fill(n *Node, b *ledger.Machine) {
 	old := n.Tasks
 	n.Group, n.Type, n.Zone, n.Spot, n.Open = b.Group, p.types[b.Type], b.Zone, b.Spot, b.Open()
-	n.Used, n.Tasks = Res{}, make([]Task, 0, len(b.Tasks))
+	n.Used, n.Tasks = Resources{}, make([]Task, 0, len(b.Tasks))
 	for i := range b.Tasks {
 		t := &b.Tasks[i]
 		task := Task{N: t.N, Stops: t.Stop > 0, Since: time.Now()}
--- a/internal/plan/existing.go
+++ b/internal/plan/existing.go
@@ -64,7 +64,7 @@
 // boots for longer than the lag covers load from its rental on: another one
 // would not be up sooner, and every pass would rent it again. It returns how
 // many found room. Machines are looked at once for a job, not for each task.
-func (p *pass) onExisting(d Demand, count int, need place.Res, zones place.Zones, run float64) int {
+func (p *pass) onExisting(d Demand, count int, need place.Resources, zones place.Zones, run float64) int {
 	choices := p.poolChoices(d, need, zones, run)
 	open := p.candidates[:0]
 	for i, s := range p.room {
@@ -109,7 +109,7 @@
 }
 
 // poolChoices tells of each pool that there are machines of what they mean to the job.
-func (p *pass) poolChoices(d Demand, need place.Res, zones place.Zones, run float64) []poolChoice {
+func (p *pass) poolChoices(d Demand, need place.Resources, zones place.Zones, run float64) []poolChoice {
 	choices := make([]poolChoice, len(p.held))
 	latest := p.LagS
 	if !d.Job.Service() && !math.IsInf(d.DeadlineS, 1) {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -336,7 +336,7 @@
 // cheap pools are used up, work that is not overdue waits for their machines
 // rather than pay a premium: the load says how many machines would be enough,
 // not what one may cost.
-func (p *pass) cheapest(d Demand, need place.Res, zones place.Zones) (Pool, float64, bool) {
+func (p *pass) cheapest(d Demand, need place.Resources, zones place.Zones) (Pool, float64, bool) {
 	j := d.Job
 	type offer struct {
 		pool        Pool
