--- a/internal/frontdoor/submit.go
+++ b/internal/frontdoor/submit.go
@@ -110,7 +110,7 @@
 	if j.Service() {
 		n = float64(j.Tasks)
 	}
-	if !(place.Usage{}).WithinLimit(team, place.Resources{}.Plus(place.Of(j), n)) {
+	if !(place.Usage{}).WithinLimit(team, place.Resources{}.Plus(place.RequestOf(j), n)) {
 		return http.StatusUnprocessableEntity, "needs more than the team's limit"
 	}
 	return 0, ""
@@ -151,7 +151,7 @@
 	for i := range types {
 		t := &types[i]
 		for _, z := range t.Zones {
-			if place.Allowed(j, t.Name, z, false) && place.Of(j).Fits(place.Capacity(t)) {
+			if place.Allowed(j, t.Name, z, false) && place.RequestOf(j).Fits(place.Capacity(t)) {
 				return true
 			}
 		}
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -17,8 +17,8 @@
 // Resources is an amount of a machine.
 type Resources struct{ CPUs, GPUs, Mem float64 }
 
-// Of is what a task of a job takes.
-func Of(j *wire.Job) Resources { return Resources{j.CPUs, j.GPUs, j.MemoryGB} }
+// RequestOf is what a task of a job takes.
+func RequestOf(j *wire.Job) Resources { return Resources{j.CPUs, j.GPUs, j.MemoryGB} }
 
 // Capacity is what a machine of a type has.
 func Capacity(t *wire.MachineType) Resources { return Resources{t.CPUs, t.GPUs, t.MemoryGB} }
@@ -170,7 +170,7 @@
 func Pick(j *wire.Job, zones Zones, offers Offers, nodes []*Node) *Node {
 	var best *Node
 	bestScore := math.Inf(1)
-	need := Of(j)
+	need := RequestOf(j)
 	for _, n := range nodes {
 		limit := Capacity(n.Type)
 		if !Allowed(j, n.Type.Name, n.Zone, n.Spot) || !zones.Allows(j, n.Zone) || !n.Used.Plus(need, 1).Fits(limit) {
@@ -230,7 +230,7 @@
 	used := Usage{}
 	owed := map[string]bool{}
 	for _, c := range jobs {
-		all := Resources{}.Plus(Of(c.Job), float64(c.Left))
+		all := Resources{}.Plus(RequestOf(c.Job), float64(c.Left))
 		if used.WithinGuarantee(team(c.Job.Team), all) {
 			owed[c.Job.ID] = true
 		}
@@ -252,7 +252,7 @@
 func Preempt(j *wire.Job, zones Zones, offers Offers, nodes []*Node, tally Usage, team func(string) config.Team) *Victims {
 	var best *Victims
 	bestScore := 0.0
-	need := Of(j)
+	need := RequestOf(j)
 	guaranteed := tally.WithinGuarantee(team(j.Team), need)
 	for _, n := range nodes {
 		if !Allowed(j, n.Type.Name, n.Zone, n.Spot) || !zones.Allows(j, n.Zone) {
@@ -322,9 +322,9 @@
 			if u.CPUs <= owner.CPUs+slack && u.GPUs <= owner.GPUs+slack {
 				continue
 			}
-			left[owner.Name] = u.Plus(Of(t.Job), -1)
+			left[owner.Name] = u.Plus(RequestOf(t.Job), -1)
 		}
-		used = used.Plus(Of(t.Job), -1)
+		used = used.Plus(RequestOf(t.Job), -1)
 		v.Tasks = append(v.Tasks, c.i)
 		v.Cost += c.cost
 	}
@@ -341,7 +341,7 @@
 	if !j.Spread || !j.Service() {
 		return nil
 	}
-	need := Of(j)
+	need := RequestOf(j)
 	for _, n := range nodes {
 		if !Allowed(j, n.Type.Name, n.Zone, n.Spot) || !zones.Allows(j, n.Zone) {
 			continue
@@ -351,11 +351,11 @@
 			if t.Job == nil || t.Stops || !t.Job.Service() || t.Job.Spread && t.Job.Tasks > 1 || t.Job.CheckpointS > 0 {
 				continue
 			}
-			if !n.Used.Plus(Of(t.Job), -1).Plus(need, 1).Fits(Capacity(n.Type)) {
+			if !n.Used.Plus(RequestOf(t.Job), -1).Plus(need, 1).Fits(Capacity(n.Type)) {
 				continue
 			}
 			if to := Pick(t.Job, Zones{}, Offers{}, elsewhere); to != nil && to.Image(t.Job.Image) {
-				to.Used = to.Used.Plus(Of(t.Job), 1) // one room is not for two
+				to.Used = to.Used.Plus(RequestOf(t.Job), 1) // one room is not for two
 				return &Victims{Node: n, Tasks: []int{i}}
 			}
 		}
--- a/internal/place/choose_test.go
+++ b/internal/place/choose_test.go
@@ -35,8 +35,8 @@
 		}
 		for k := range rapid.IntRange(0, 4).Draw(t, "held") {
 			j := genSpec(t, 100+k)
-			if n.Used.Plus(Of(j), 1).Fits(Capacity(n.Type)) {
-				n.Used = n.Used.Plus(Of(j), 1)
+			if n.Used.Plus(RequestOf(j), 1).Fits(Capacity(n.Type)) {
+				n.Used = n.Used.Plus(RequestOf(j), 1)
 				n.Tasks = append(n.Tasks, Task{Job: j, N: i, Guaranteed: rapid.Bool().Draw(t, "owed")})
 			}
 		}
@@ -53,7 +53,7 @@
 		ok := func(n *Node) bool {
 			inOther := zones["p"] + zones["q"] - zones[n.Zone]
 			return (j.Spot || !n.Spot) && (!j.OneZone || inOther == 0) && (!j.Spread || 2*zones[n.Zone] < j.Tasks) &&
-				n.Used.Plus(Of(j), 1).Fits(Capacity(n.Type))
+				n.Used.Plus(RequestOf(j), 1).Fits(Capacity(n.Type))
 		}
 		got := Pick(j, zones, Offers{}, nodes)
 		if got != nil && !ok(got) {
@@ -76,7 +76,7 @@
 		tally := Usage{}
 		for _, n := range nodes {
 			for _, task := range n.Tasks {
-				tally[task.Job.Team] = tally[task.Job.Team].Plus(Of(task.Job), 1)
+				tally[task.Job.Team] = tally[task.Job.Team].Plus(RequestOf(task.Job), 1)
 			}
 		}
 		v := Preempt(j, Zones{}, Offers{}, nodes, tally, team)
@@ -90,7 +90,7 @@
 		}
 		for _, i := range v.Tasks {
 			victim := v.Node.Tasks[i]
-			used = used.Plus(Of(victim.Job), -1)
+			used = used.Plus(RequestOf(victim.Job), -1)
 			if victim.Job.Rank < j.Rank {
 				continue
 			}
@@ -100,7 +100,7 @@
 			if victim.Job.Team == j.Team {
 				t.Fatal("equal or higher rank of the same team stopped")
 			}
-			if !tally.WithinGuarantee(team(j.Team), Of(j)) {
+			if !tally.WithinGuarantee(team(j.Team), RequestOf(j)) {
 				t.Fatal("taken back beyond the guarantee")
 			}
 			if left <= teams[victim.Job.Team].CPUs {
@@ -108,7 +108,7 @@
 			}
 			left -= victim.Job.CPUs
 		}
-		if !used.Plus(Of(j), 1).Fits(Capacity(v.Node.Type)) {
+		if !used.Plus(RequestOf(j), 1).Fits(Capacity(v.Node.Type)) {
 			t.Fatal("victims make no room")
 		}
 	})
--- a/internal/place/nodes.go
+++ b/internal/place/nodes.go
@@ -132,14 +132,14 @@
 		}
 	}
 	for _, j := range n.held {
-		p.tally[j.Team] = p.tally[j.Team].Plus(Of(j), sign)
+		p.tally[j.Team] = p.tally[j.Team].Plus(RequestOf(j), sign)
 	}
 	if n.pool != nil {
 		s := p.pools[*n.pool]
 		s.open += int(sign)
 		for _, j := range n.held {
 			if j.Service() {
-				s.kept = s.kept.Plus(Of(j), sign)
+				s.kept = s.kept.Plus(RequestOf(j), sign)
 			}
 		}
 		p.pools[*n.pool] = s
@@ -171,7 +171,7 @@
 			// What is ordered to stop without saving is gone before a launch in
 			// the same commands is carried out.
 			if t.Stop == 0 || t.Grace > 0 {
-				n.Used = n.Used.Plus(Of(j.Spec), 1)
+				n.Used = n.Used.Plus(RequestOf(j.Spec), 1)
 			}
 		}
 		for _, o := range old {
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -52,7 +52,7 @@
 	for _, i := range v.Tasks {
 		task := &v.Node.Tasks[i]
 		task.Stops = true
-		v.Node.Used = v.Node.Used.Plus(Of(task.Job), -1)
+		v.Node.Used = v.Node.Used.Plus(RequestOf(task.Job), -1)
 		t := rec.Find(task.Job.ID, task.N)
 		if t == nil {
 			continue
--- a/internal/place/proofs.go
+++ b/internal/place/proofs.go
@@ -156,7 +156,7 @@
 		r.gone++
 		r.said += ledger.GoneBytes(&g)
 		if j := p.view.Jobs[g.Job]; j != nil && j.Spec != nil {
-			r.tally[j.Spec.Team] = r.tally[j.Spec.Team].Plus(Of(j.Spec), -1)
+			r.tally[j.Spec.Team] = r.tally[j.Spec.Team].Plus(RequestOf(j.Spec), -1)
 		}
 		if g.Why != wire.WhyDone {
 			r.log = append(r.log, func() { slog.Info("task left machine", "task", g.Task(), "machine", m, "why", g.Why) })
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -128,7 +128,7 @@
 	for k, s := range p.pools {
 		if s.open > 0 && Allowed(j, k.typ, k.zone, k.spot) {
 			limit := Capacity(p.types[k.typ])
-			whole := float64(s.open) * math.Floor(1/Of(j).Share(limit)+slack)
+			whole := float64(s.open) * math.Floor(1/RequestOf(j).Share(limit)+slack)
 			sum += whole * max(0, 1-s.kept.Share(limit)/float64(s.open))
 		}
 	}
@@ -149,7 +149,7 @@
 		}
 	}
 	for m, s := range p.starts {
-		if !s.Spot && p.offers[s.Zone] > p.offers[n.Zone] && Allowed(j, s.Type.Name, s.Zone, s.Spot) && Of(j).Fits(Capacity(s.Type)) &&
+		if !s.Spot && p.offers[s.Zone] > p.offers[n.Zone] && Allowed(j, s.Type.Name, s.Zone, s.Spot) && RequestOf(j).Fits(Capacity(s.Type)) &&
 			now.Sub(time.UnixMilli(p.view.Binds[m].At)) < config.Secs(BootUsual*s.Type.BootS) {
 			return true
 		}
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -81,7 +81,7 @@
 	var list []*Node
 	usable := func(n *Node) bool {
 		return n != nil && n.HasRoom() && !r.now.Before(p.shaky[n.Name]) && Allowed(j, n.Type.Name, n.Zone, n.Spot) &&
-			n.Used.Plus(Of(j), 1).Fits(Capacity(n.Type))
+			n.Used.Plus(RequestOf(j), 1).Fits(Capacity(n.Type))
 	}
 	if r.nearOf != len(r.drafts) {
 		r.near, r.nearOf = r.near[:0], len(r.drafts)
@@ -114,7 +114,7 @@
 // placeJob places what it can of a job.
 func (p *Placer) placeJob(r *round, w waiting) {
 	spec, team := w.job.Spec, p.team(w.job.Spec.Team)
-	need := Of(spec)
+	need := RequestOf(spec)
 	if r.ends[w.id] > 0 || !r.tally.WithinLimit(team, need) {
 		return
 	}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -204,7 +204,7 @@
 		}
 		s := &slot{m: m, pool: p.poolIndex(m.Pool), typ: t, ready: m.ReadyS, taken: len(m.Tasks) > 0}
 		for _, h := range m.Tasks {
-			s.add(h.LeftS, place.Of(h.Job).Share(place.Capacity(t)))
+			s.add(h.LeftS, place.RequestOf(h.Job).Share(place.Capacity(t)))
 		}
 		p.room = append(p.room, s)
 	}
@@ -287,7 +287,7 @@
 // cover finds room for a demand: on the machines there are, then on the
 // cheapest pool that can be had. It returns the tasks left without.
 func (p *pass) cover(d Demand) int {
-	need := place.Of(d.Job)
+	need := place.RequestOf(d.Job)
 	zones := place.Zones{}
 	for z, n := range d.Zones {
 		zones[z] = n
--- a/internal/rent/demand.go
+++ b/internal/rent/demand.go
@@ -188,7 +188,7 @@
 		t := &r.types[i]
 		for _, z := range t.Zones {
 			for _, spot := range []bool{false, true} {
-				if pools[plan.Pool{Type: t.Name, Zone: z, Spot: spot}] && place.Allowed(j, t.Name, z, spot) && place.Of(j).Fits(place.Capacity(t)) {
+				if pools[plan.Pool{Type: t.Name, Zone: z, Spot: spot}] && place.Allowed(j, t.Name, z, spot) && place.RequestOf(j).Fits(place.Capacity(t)) {
 					return true
 				}
 			}
--- a/internal/rent/failures.go
+++ b/internal/rent/failures.go
@@ -119,7 +119,7 @@
 		for i := range b.Tasks {
 			// Work of lower rank makes room.
 			if j := r.view.Jobs[b.Tasks[i].Job]; j != nil && j.Spec != nil && j.Spec.Rank == wire.RankProd {
-				n.Used = n.Used.Plus(place.Of(j.Spec), 1)
+				n.Used = n.Used.Plus(place.RequestOf(j.Spec), 1)
 			}
 		}
 		nodes = append(nodes, n)
@@ -135,7 +135,7 @@
 		if n == nil {
 			return false
 		}
-		n.Used = n.Used.Plus(place.Of(j.Spec), 1)
+		n.Used = n.Used.Plus(place.RequestOf(j.Spec), 1)
 	}
 	return true
 }
