--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -55,12 +55,12 @@
 	starts map[string]*Node // machines that are coming up
 	tally  Usage
 
-	notes   map[string]map[string]*pendingObservation // group, machine
-	proved  time.Time                                 // when somebody last wrote what reports proved
-	ripe    map[string]time.Time                      // complete jobs that are not called done yet, since
-	large   map[string]bool                           // groups whose records can hardly be written, or not at all
-	crowded map[string]bool                           // groups whose records are full before their machines are
-	fallen  map[string]*ledger.Job                    // cancelled with a predecessor, which their own records don't say yet
+	notes         map[string]map[string]*pendingObservation // group, machine
+	proved        time.Time                                 // when somebody last wrote what reports proved
+	completeSince map[string]time.Time                      // complete jobs that are not called done yet, since
+	large         map[string]bool                           // groups whose records can hardly be written, or not at all
+	crowded       map[string]bool                           // groups whose records are full before their machines are
+	fallen        map[string]*ledger.Job                    // cancelled with a predecessor, which their own records don't say yet
 
 	busy      bool
 	scheduled bool
@@ -77,7 +77,7 @@
 		types: map[string]*wire.MachineType{}, active: map[string]*ledger.Job{}, runs: NewEstimates(), low: map[string]int{},
 		images: map[string][]image{}, failed: map[string]*failure{}, shaky: map[string]time.Time{}, yields: map[string]time.Time{},
 		nodes: map[string]*Node{}, pools: map[pool]stock{}, starts: map[string]*Node{}, tally: Usage{},
-		notes: map[string]map[string]*pendingObservation{}, ripe: map[string]time.Time{}, large: map[string]bool{}, crowded: map[string]bool{}, fallen: map[string]*ledger.Job{},
+		notes: map[string]map[string]*pendingObservation{}, completeSince: map[string]time.Time{}, large: map[string]bool{}, crowded: map[string]bool{}, fallen: map[string]*ledger.Job{},
 	}
 	l.Subscribe(func(d ledger.Delta) { p.Send(func() { p.apply(d) }) })
 	p.Every(p.reportS(1.0/6), p.schedule)
@@ -156,7 +156,7 @@
 				delete(p.low, c.Name)
 				delete(p.failed, c.Name)
 				delete(p.yields, c.Name)
-				delete(p.ripe, c.Name)
+				delete(p.completeSince, c.Name)
 				p.runs.Forget(c.Name)
 			}
 		}
@@ -167,8 +167,8 @@
 }
 
 func (p *Placer) ripen(job string, now time.Time) {
-	if _, ok := p.ripe[job]; !ok && p.view.Complete(job) {
-		p.ripe[job] = now
+	if _, ok := p.completeSince[job]; !ok && p.view.Complete(job) {
+		p.completeSince[job] = now
 	}
 }
 
--- a/internal/place/proofs.go
+++ b/internal/place/proofs.go
@@ -13,9 +13,9 @@
 
 // endRipe ends jobs whose last tasks are marked already.
 func (p *Placer) endRipe(r *round, placing bool) {
-	for job, since := range p.ripe {
+	for job, since := range p.completeSince {
 		if !p.view.Complete(job) {
-			delete(p.ripe, job)
+			delete(p.completeSince, job)
 		} else if placing || r.now.Sub(since) > p.reportS(1) {
 			p.end(r, job)
 		}
