--- a/internal/place/proofs.go
+++ b/internal/place/proofs.go
@@ -11,8 +11,8 @@
 	"lynxledge/wire"
 )
 
-// endRipe ends jobs whose last tasks are marked already.
-func (p *Placer) endRipe(r *round, placing bool) {
+// endCompleteJobs ends jobs whose last tasks are marked already.
+func (p *Placer) endCompleteJobs(r *round, placing bool) {
 	for job, since := range p.completeSince {
 		if !p.view.Complete(job) {
 			delete(p.completeSince, job)
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -44,7 +44,7 @@
 		starts: map[string][]wire.Order{}, stops: map[string][]wire.Order{}, rows: map[string]*ledger.Machine{}, judged: map[*Node]bool{},
 	}
 	p.openLarge(r)
-	p.endRipe(r, len(mine) > 0)
+	p.endCompleteJobs(r, len(mine) > 0)
 	q := p.queue(mine, now)
 	p.takeNotes(r, len(mine) > 0, len(q) > 0)
 	for job := range r.marks {
