--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -130,7 +130,7 @@
 					p.proved = now
 				}
 				for job := range g.Marks {
-					p.ripen(job, now)
+					p.noteIfComplete(job, now)
 				}
 			} else {
 				delete(p.notes, c.Name)
@@ -139,7 +139,7 @@
 			}
 		case ledger.KindDone:
 			job, _, _ := strings.Cut(c.Name, "/")
-			p.ripen(job, now)
+			p.noteIfComplete(job, now)
 		case ledger.KindJob:
 			j, _ := c.Rec.(*ledger.Job)
 			if j != nil && j.Derived {
@@ -166,7 +166,7 @@
 	}
 }
 
-func (p *Placer) ripen(job string, now time.Time) {
+func (p *Placer) noteIfComplete(job string, now time.Time) {
 	if _, ok := p.completeSince[job]; !ok && p.view.Complete(job) {
 		p.completeSince[job] = now
 	}
