--- a/internal/place/proofs.go
+++ b/internal/place/proofs.go
@@ -22,10 +22,10 @@
 	}
 }
 
-// endFallen stores that jobs are cancelled with a predecessor, a few at a time:
+// endCancelledDependents stores that jobs are cancelled with a predecessor, a few at a time:
 // everybody derives it, so there is no haste, but what is over for good need not be
 // followed any more.
-func (p *Placer) endFallen(r *round, placing bool) {
+func (p *Placer) endCancelledDependents(r *round, placing bool) {
 	for id, j := range p.fallen {
 		if !placing || r.ops() >= r.limit/2 || !p.guardable(r) {
 			return
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -50,7 +50,7 @@
 	for job := range r.marks {
 		p.end(r, job)
 	}
-	p.endFallen(r, len(mine) > 0)
+	p.endCancelledDependents(r, len(mine) > 0)
 	r.tries = triesOf(q)
 	for _, w := range q {
 		p.placeJob(r, w)
