--- a/internal/place/proofs.go
+++ b/internal/place/proofs.go
@@ -30,7 +30,7 @@
 		if !placing || r.ops() >= r.limit/2 || !p.guardable(r) {
 			return
 		}
-		r.falls[id] = j.Cancelled(j.EndAt)
+		r.cancellations[id] = j.Cancelled(j.EndAt)
 		r.jobs[id] = j.Stamp
 	}
 }
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -40,7 +40,7 @@
 	}
 	r := &round{
 		now: now, limit: limit, drafts: map[string]*draft{}, folds: map[string]*ledger.DoneChunk{}, ends: map[string]int{},
-		parts: map[string]int{}, falls: map[string]*ledger.Job{}, marks: map[string]int{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{}, tally: maps.Clone(p.tally),
+		parts: map[string]int{}, cancellations: map[string]*ledger.Job{}, marks: map[string]int{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{}, tally: maps.Clone(p.tally),
 		starts: map[string][]wire.Order{}, stops: map[string][]wire.Order{}, rows: map[string]*ledger.Machine{}, judged: map[*Node]bool{},
 	}
 	p.openLarge(r)
--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -11,29 +11,29 @@
 // round is one commit in the making: what reports prove, jobs that end by it,
 // and new bindings, all that concerns a group in one write.
 type round struct {
-	now    time.Time
-	limit  int // writes
-	drafts map[string]*draft
-	folds  map[string]*ledger.DoneChunk // by key
-	ends   map[string]int               // jobs that end: writes that takes
-	parts  map[string]int               // groups to split: new records at most
-	falls  map[string]*ledger.Job       // jobs whose cancellation is stored
-	marks  map[string]int               // jobs: tasks marked here
-	jobs   map[string]uint64            // guarded jobs
-	hands  map[string]uint64
-	placed map[string]int
-	tally  Usage
-	owed   map[string]bool
-	starts map[string][]wire.Order
-	stops  map[string][]wire.Order
-	gone   int                        // tasks that left
-	said   int                        // bytes of what the records say of them
-	rows   map[string]*ledger.Machine // of the machines with starts
-	log    []func()
-	judged map[*Node]bool        // brought up to date for choices of victims
-	near   []*Node               // with room, in groups that are written anyhow
-	nearOf int                   // number of those groups
-	tries  map[wire.Rank]float64 // part of the jobs that may look for others' places
+	now           time.Time
+	limit         int // writes
+	drafts        map[string]*draft
+	folds         map[string]*ledger.DoneChunk // by key
+	ends          map[string]int               // jobs that end: writes that takes
+	parts         map[string]int               // groups to split: new records at most
+	cancellations map[string]*ledger.Job       // jobs whose cancellation is stored
+	marks         map[string]int               // jobs: tasks marked here
+	jobs          map[string]uint64            // guarded jobs
+	hands         map[string]uint64
+	placed        map[string]int
+	tally         Usage
+	owed          map[string]bool
+	starts        map[string][]wire.Order
+	stops         map[string][]wire.Order
+	gone          int                        // tasks that left
+	said          int                        // bytes of what the records say of them
+	rows          map[string]*ledger.Machine // of the machines with starts
+	log           []func()
+	judged        map[*Node]bool        // brought up to date for choices of victims
+	near          []*Node               // with room, in groups that are written anyhow
+	nearOf        int                   // number of those groups
+	tries         map[wire.Rank]float64 // part of the jobs that may look for others' places
 }
 
 type draft struct {
@@ -57,7 +57,7 @@
 }
 
 func (r *round) ops() int {
-	n := len(r.drafts) + len(r.folds) + len(r.falls)
+	n := len(r.drafts) + len(r.folds) + len(r.cancellations)
 	for _, parts := range r.parts {
 		n += parts
 	}
@@ -80,7 +80,7 @@
 	for _, f := range r.folds {
 		n += 4*len(f.Bits)/3 + ledger.WriteBytes
 	}
-	n += ledger.WriteBytes * (len(r.ends) + len(r.falls)*(1+fallBytes/ledger.WriteBytes))
+	n += ledger.WriteBytes * (len(r.ends) + len(r.cancellations)*(1+fallBytes/ledger.WriteBytes))
 	return n + ledger.WriteBytes*(len(r.jobs)+len(r.hands))
 }
 
@@ -142,7 +142,7 @@
 		c.Guards = append(c.Guards, wire.Guard{Key: key, Version: d.Stamp})
 		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: d})
 	}
-	for id, rec := range r.falls {
+	for id, rec := range r.cancellations {
 		c.Puts = append(c.Puts, ledger.Put{Key: ledger.Key(ledger.KindJob, id), Rec: rec})
 	}
 	for job, writes := range r.ends {
@@ -176,7 +176,7 @@
 	}
 	p.pace.ReserveN(r.now, c.Ops())
 	p.busy = true
-	slog.Debug("round", "writes", c.Ops(), "limit", r.limit, "groups", len(r.drafts), "of", len(p.view.Groups), "folds", len(r.folds), "ends", len(r.ends), "falls", len(r.falls),
+	slog.Debug("round", "writes", c.Ops(), "limit", r.limit, "groups", len(r.drafts), "of", len(p.view.Groups), "folds", len(r.folds), "ends", len(r.ends), "falls", len(r.cancellations),
 		"placed", sum(r.placed), "gone", r.gone, "notes_left", len(p.notes))
 	p.ledger.Commit(c, func(out ledger.Outcome) {
 		p.Send(func() {
