--- a/internal/place/nodes.go
+++ b/internal/place/nodes.go
@@ -12,8 +12,8 @@
 	spot      bool
 }
 
-// stock is what a pool has.
-type stock struct {
+// poolStock is what a pool has.
+type poolStock struct {
 	open int       // machines that may take tasks
 	kept Resources // what replicas hold of them
 }
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -51,7 +51,7 @@
 	nodes  map[string]*Node
 	all    []*Node
 	roomy  []*Node // those with room
-	pools  map[pool]stock
+	pools  map[pool]poolStock
 	starts map[string]*Node // machines that are coming up
 	tally  Usage
 
@@ -76,7 +76,7 @@
 		view:  ledger.NewRunningView(ledger.ChunkTasks(s.ValueKB)),
 		types: map[string]*wire.MachineType{}, active: map[string]*ledger.Job{}, runs: NewEstimates(), low: map[string]int{},
 		images: map[string][]image{}, failed: map[string]*failure{}, shaky: map[string]time.Time{}, yields: map[string]time.Time{},
-		nodes: map[string]*Node{}, pools: map[pool]stock{}, starts: map[string]*Node{}, tally: Usage{},
+		nodes: map[string]*Node{}, pools: map[pool]poolStock{}, starts: map[string]*Node{}, tally: Usage{},
 		notes: map[string]map[string]*pendingObservation{}, completeSince: map[string]time.Time{}, large: map[string]bool{}, crowded: map[string]bool{}, fallen: map[string]*ledger.Job{},
 	}
 	l.Subscribe(func(d ledger.Delta) { p.Send(func() { p.apply(d) }) })
