--- a/internal/rent/demand.go
+++ b/internal/rent/demand.go
@@ -164,15 +164,15 @@
 	if late > 0 {
 		by = h.By
 	}
-	if r.missing[last] == by {
+	if r.latePipelines[last] == by {
 		return
 	}
 	if by == "" {
-		delete(r.missing, last)
+		delete(r.latePipelines, last)
 		slog.Info("pipeline is in time again", "last", last, "class", j.Spec.Class)
 		return
 	}
-	r.missing[last] = by
+	r.latePipelines[last] = by
 	slog.Info("pipeline will miss its deadline", "last", last, "class", j.Spec.Class, "held_up_by", by, "late_s", math.Ceil(late))
 }
 
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -43,21 +43,21 @@
 	prober Prober
 	report func(*wire.Report)
 
-	view    *ledger.View
-	epoch   uint64
-	fresh   time.Time
-	types   []wire.MachineType
-	active  map[string]*ledger.Job
-	blocked map[string]*ledger.Job
-	missing map[string]string // pipelines by their last job: the stage that makes them late
-	runs    *place.Estimates
-	since   map[string]time.Time
-	heard   map[string]time.Time
-	marked  map[string]time.Time       // when a machine was marked quiet
-	errors  map[string]map[string]bool // machine: jobs that failed on it since a success
-	refused map[plan.Pool]time.Time
-	edits   map[string]edit // machine: what is to be written of it
-	writing bool
+	view          *ledger.View
+	epoch         uint64
+	fresh         time.Time
+	types         []wire.MachineType
+	active        map[string]*ledger.Job
+	blocked       map[string]*ledger.Job
+	latePipelines map[string]string // pipelines by their last job: the stage that makes them late
+	runs          *place.Estimates
+	since         map[string]time.Time
+	heard         map[string]time.Time
+	marked        map[string]time.Time       // when a machine was marked quiet
+	errors        map[string]map[string]bool // machine: jobs that failed on it since a success
+	refused       map[plan.Pool]time.Time
+	edits         map[string]edit // machine: what is to be written of it
+	writing       bool
 
 	term       uint64 // of the leadership that this state belongs to
 	hires      int
@@ -77,7 +77,7 @@
 		Actor: actor.Start(ctx, "renter", 256), ctx: ctx, cfg: cfg, boot: boot, begun: time.Now(), ledger: l, cloud: c, prober: p, report: report,
 		pace:   rate.NewLimiter(rate.Limit(cfg.Params.State.WriteRPS*(1-cfg.Ops.StateShare)), cfg.Params.State.Ops()),
 		view:   ledger.NewRunningView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
-		active: map[string]*ledger.Job{}, blocked: map[string]*ledger.Job{}, missing: map[string]string{}, runs: place.NewEstimates(), since: map[string]time.Time{}, heard: map[string]time.Time{}, marked: map[string]time.Time{}, errors: map[string]map[string]bool{},
+		active: map[string]*ledger.Job{}, blocked: map[string]*ledger.Job{}, latePipelines: map[string]string{}, runs: place.NewEstimates(), since: map[string]time.Time{}, heard: map[string]time.Time{}, marked: map[string]time.Time{}, errors: map[string]map[string]bool{},
 		refused: map[plan.Pool]time.Time{}, hiring: map[string]plan.Pool{}, deleting: map[string]bool{}, edits: map[string]edit{},
 		probing: map[string]bool{}, unanswered: map[string]time.Time{}, mute: map[string]bool{}, deleted: map[string]time.Time{},
 	}
@@ -121,7 +121,7 @@
 			switch {
 			case j == nil || !j.Active() || j.Spec == nil:
 				r.runs.Forget(c.Name)
-				delete(r.missing, c.Name)
+				delete(r.latePipelines, c.Name)
 			case j.Blocked:
 				r.blocked[c.Name] = j
 			default:
