--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -152,7 +152,7 @@
 	Params Params `toml:"params"`
 
 	// Ops are the operators' own settings.
-	Ops Ops `toml:"-"`
+	Ops OperatorSettings `toml:"-"`
 
 	// Rates is what this process knows of the rates in force; nil: as set.
 	Rates *Rates `toml:"-"`
--- a/internal/config/ops.go
+++ b/internal/config/ops.go
@@ -17,9 +17,9 @@
 //go:embed operators.default.json
 var opsDefault []byte
 
-// Ops are the operators' own settings. The schema beside this file says what
+// OperatorSettings are the operators' own settings. The schema beside this file says what
 // each means; ratios refer to figures of the platform's settings.
-type Ops struct {
+type OperatorSettings struct {
 	PassS            float64 `json:"pass_s"`
 	BootLagS         float64 `json:"boot_lag_s"`
 	BillingPeriodS   float64 `json:"billing_period_s"`
@@ -34,43 +34,43 @@
 }
 
 // DefaultOps are the embedded defaults.
-func DefaultOps() Ops {
-	var o Ops
+func DefaultOps() OperatorSettings {
+	var o OperatorSettings
 	if err := json.Unmarshal(opsDefault, &o); err != nil {
 		panic(err) // the embedded file is checked by a test
 	}
 	return o
 }
 
-func loadOps(path string) (Ops, error) {
+func loadOps(path string) (OperatorSettings, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return Ops{}, fmt.Errorf("operators' settings: %w", err)
+		return OperatorSettings{}, fmt.Errorf("operators' settings: %w", err)
 	}
 	o, err := ParseOps(b)
 	if err != nil {
-		return Ops{}, fmt.Errorf("operators' settings %s: %w", path, err)
+		return OperatorSettings{}, fmt.Errorf("operators' settings %s: %w", path, err)
 	}
 	return o, nil
 }
 
 // ParseOps checks the operators' settings against the schema and lays them
 // over the defaults.
-func ParseOps(b []byte) (Ops, error) {
+func ParseOps(b []byte) (OperatorSettings, error) {
 	var document any
 	if err := json.Unmarshal(b, &document); err != nil {
-		return Ops{}, fmt.Errorf("not JSON: %w", err)
+		return OperatorSettings{}, fmt.Errorf("not JSON: %w", err)
 	}
 	var schema jsonschema.Schema
 	if err := json.Unmarshal(opsSchema, &schema); err != nil {
-		return Ops{}, err
+		return OperatorSettings{}, err
 	}
 	resolved, err := schema.Resolve(nil)
 	if err != nil {
-		return Ops{}, err
+		return OperatorSettings{}, err
 	}
 	if err := resolved.Validate(document); err != nil {
-		return Ops{}, errors.New(describe(err))
+		return OperatorSettings{}, errors.New(describe(err))
 	}
 	ops := DefaultOps()
 	return ops, json.Unmarshal(b, &ops)
