--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -138,7 +138,7 @@
 		// Our own earlier process led; it is gone for certain.
 		e.campaign()
 	case Leading(e.view, e.opt.Boot):
-		e.hand()
+		e.assignTeams()
 	}
 }
 
@@ -180,8 +180,8 @@
 	})
 }
 
-// hand gives teams without a live controller a new one.
-func (e *Election) hand() {
+// assignTeams gives teams without a live controller a new one.
+func (e *Election) assignTeams() {
 	teams := Teams(e.opt.Teams, e.view.Jobs)
 	c := ledger.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Version: e.view.Leader.Stamp}}}
 	for team, member := range Assign(teams, e.view.Assignments, e.view.Members, e.view.Leader.Member) {
