--- a/cmd/lynxledge/cluster_test.go
+++ b/cmd/lynxledge/cluster_test.go
@@ -452,7 +452,7 @@
 	w.jobs++
 	j := &wire.Job{
 		ID: fmt.Sprintf("req-%06d", w.jobs), Class: "c", Team: []string{"red", "blue"}[a.A%2], Shape: wire.ShapeArray,
-		Rank: wire.Rank(a.B % 3), Tasks: 1 + a.A, CPUs: float64(1 + a.B%4), MemoryGB: 1, Image: "img", ImageGB: 1,
+		Rank: wire.Priority(a.B % 3), Tasks: 1 + a.A, CPUs: float64(1 + a.B%4), MemoryGB: 1, Image: "img", ImageGB: 1,
 		Spot: a.A%3 != 0, OneZone: a.B%4 == 1, EstimateS: 10,
 	}
 	if a.Kind == "service" {
--- a/internal/ledger/pipeline_test.go
+++ b/internal/ledger/pipeline_test.go
@@ -42,7 +42,7 @@
 }
 
 // rank is the highest of a job and of those that need it and are not over.
-func (s *story) rank(id string) wire.Rank {
+func (s *story) rank(id string) wire.Priority {
 	r := s.jobs[id].Spec.Rank
 	for _, after := range s.ids {
 		for _, before := range s.jobs[after].Spec.Awaits {
@@ -122,7 +122,7 @@
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			if len(s.ids) == 0 || rapid.IntRange(0, 2).Draw(t, "what") == 0 {
 				id := fmt.Sprintf("req-%06d", len(s.ids))
-				spec := &wire.Job{ID: id, Rank: wire.Rank(rapid.IntRange(0, 3).Draw(t, "rank")), EstimateS: 1}
+				spec := &wire.Job{ID: id, Rank: wire.Priority(rapid.IntRange(0, 3).Draw(t, "rank")), EstimateS: 1}
 				for _, before := range s.ids {
 					if rapid.IntRange(0, 3).Draw(t, "needs") == 0 {
 						spec.Awaits = append(spec.Awaits, before)
--- a/internal/place/choose_test.go
+++ b/internal/place/choose_test.go
@@ -18,7 +18,7 @@
 func genSpec(t *rapid.T, id int) *wire.Job {
 	return &wire.Job{
 		ID: fmt.Sprintf("req-%06d", id), Team: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"), Shape: wire.ShapeArray,
-		Rank: wire.Rank(rapid.IntRange(0, 3).Draw(t, "rank")), Tasks: rapid.IntRange(1, 9).Draw(t, "tasks"),
+		Rank: wire.Priority(rapid.IntRange(0, 3).Draw(t, "rank")), Tasks: rapid.IntRange(1, 9).Draw(t, "tasks"),
 		CPUs: rapid.Float64Range(0.1, 6).Draw(t, "cpus"), GPUs: float64(rapid.IntRange(0, 1).Draw(t, "gpus")),
 		MemoryGB: rapid.Float64Range(0, 20).Draw(t, "mem"), Image: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "image"),
 		OneZone: rapid.Bool().Draw(t, "one"), Spread: rapid.Bool().Draw(t, "spread"), Spot: rapid.Bool().Draw(t, "spot"),
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -64,8 +64,8 @@
 const maxTries = 64
 
 // triesOf is the part of the waiting jobs of each rank that may look.
-func triesOf(q []waiting) map[wire.Rank]float64 {
-	out := map[wire.Rank]float64{}
+func triesOf(q []waiting) map[wire.Priority]float64 {
+	out := map[wire.Priority]float64{}
 	for i := range q {
 		out[q[i].job.Spec.Rank]++
 	}
--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -30,10 +30,10 @@
 	said          int                        // bytes of what the records say of them
 	rows          map[string]*ledger.Machine // of the machines with starts
 	log           []func()
-	judged        map[*Node]bool        // brought up to date for choices of victims
-	near          []*Node               // with room, in groups that are written anyhow
-	nearOf        int                   // number of those groups
-	tries         map[wire.Rank]float64 // part of the jobs that may look for others' places
+	judged        map[*Node]bool            // brought up to date for choices of victims
+	near          []*Node                   // with room, in groups that are written anyhow
+	nearOf        int                       // number of those groups
+	tries         map[wire.Priority]float64 // part of the jobs that may look for others' places
 }
 
 type draft struct {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -251,7 +251,7 @@
 		return nil
 	}
 	type key struct {
-		rank wire.Rank
+		rank wire.Priority
 		spot bool
 	}
 	sum := map[key]float64{}
--- a/wire/job.go
+++ b/wire/job.go
@@ -29,12 +29,12 @@
 	ShapeService = "service"
 )
 
-// Rank is the priority of a job; a larger one is more urgent.
-type Rank int
+// Priority is the priority of a job; a larger one is more urgent.
+type Priority int
 
 // The priorities, from the least urgent.
 const (
-	RankIdle Rank = iota
+	RankIdle Priority = iota
 	RankNormal
 	RankHigh
 	RankProd
@@ -42,20 +42,20 @@
 
 var rankNames = [...]string{"idle", "normal", "high", "prod"}
 
-func (r Rank) String() string { return rankNames[r] }
+func (r Priority) String() string { return rankNames[r] }
 
 // MarshalJSON writes the protocol's word.
-func (r Rank) MarshalJSON() ([]byte, error) { return json.Marshal(r.String()) }
+func (r Priority) MarshalJSON() ([]byte, error) { return json.Marshal(r.String()) }
 
 // UnmarshalJSON reads the protocol's word.
-func (r *Rank) UnmarshalJSON(b []byte) error {
+func (r *Priority) UnmarshalJSON(b []byte) error {
 	var s string
 	if err := json.Unmarshal(b, &s); err != nil {
 		return err
 	}
 	for i, n := range rankNames {
 		if n == s {
-			*r = Rank(i)
+			*r = Priority(i)
 			return nil
 		}
 	}
@@ -68,7 +68,7 @@
 	Class       string   `json:"lane"`
 	Team        string   `json:"crew"`
 	Shape       string   `json:"shape"`
-	Rank        Rank     `json:"rank"`
+	Rank        Priority `json:"rank"`
 	Tasks       int      `json:"legs"`
 	CPUs        float64  `json:"cores"`
 	GPUs        float64  `json:"gpus"`
@@ -99,7 +99,7 @@
 	Class       *string   `json:"lane"`
 	Team        *string   `json:"crew"`
 	Shape       *string   `json:"shape"`
-	Rank        *Rank     `json:"rank"`
+	Rank        *Priority `json:"rank"`
 	Tasks       *int      `json:"legs"`
 	CPUs        *float64  `json:"cores"`
 	GPUs        *float64  `json:"gpus"`
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -18,7 +18,7 @@
 	j := &Job{
 		ID: rapid.StringMatching(`req-[0-9]{6,12}`).Draw(t, "id"), Class: name.Draw(t, "class"), Team: name.Draw(t, "team"),
 		Shape: rapid.SampledFrom([]string{ShapeArray, ShapeService}).Draw(t, "shape"),
-		Rank:  Rank(rapid.IntRange(0, 3).Draw(t, "rank")), Tasks: rapid.IntRange(1, MaxTasks).Draw(t, "tasks"),
+		Rank:  Priority(rapid.IntRange(0, 3).Draw(t, "rank")), Tasks: rapid.IntRange(1, MaxTasks).Draw(t, "tasks"),
 		CPUs: rapid.Float64Range(0.1, 1e3).Draw(t, "cpus"), GPUs: amount.Draw(t, "gpus"), MemoryGB: amount.Draw(t, "mem"),
 		Image: name.Draw(t, "image"), ImageGB: amount.Draw(t, "gb"), EstimateS: amount.Draw(t, "estimate"),
 		OneZone: rapid.Bool().Draw(t, "one"), Spread: rapid.Bool().Draw(t, "spread"), Spot: rapid.Bool().Draw(t, "spot"),
