--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -249,7 +249,7 @@
 		if len(groups) < 2 {
 			t.Skip()
 		}
-		want := maps.Clone(v.Binds)
+		want := maps.Clone(v.Machines)
 		into, other := v.Draft("a"), v.Draft("b")
 		into.Absorb(other)
 		var c Commit
@@ -267,7 +267,7 @@
 			t.Fatalf("taken for gone: %+v", out)
 		}
 		bound := 0
-		for m, b := range v.Binds {
+		for m, b := range v.Machines {
 			w := want[m]
 			if w == nil || b.Group != "a" || b.Addr != w.Addr || b.Token != w.Token || !slices.Equal(b.Tasks, w.Tasks) {
 				t.Fatalf("%s: %+v, was %+v", m, b, w)
@@ -278,8 +278,8 @@
 				}
 			}
 		}
-		if len(v.Binds) != n || bound != len(v.Bound["req-000001"]) || v.DoneCount("req-000001") != 3 {
-			t.Fatalf("%d machines, %d bound, %d done", len(v.Binds), len(v.Bound["req-000001"]), v.DoneCount("req-000001"))
+		if len(v.Machines) != n || bound != len(v.Bound["req-000001"]) || v.DoneCount("req-000001") != 3 {
+			t.Fatalf("%d machines, %d bound, %d done", len(v.Machines), len(v.Bound["req-000001"]), v.DoneCount("req-000001"))
 		}
 	})
 }
@@ -355,14 +355,14 @@
 			for _, c := range d.Changes {
 				v.Apply(c)
 			}
-			if len(v.Binds) != 3 || v.Binds["i-2"].Group != "a" {
-				t.Errorf("%d machines at revision %d", len(v.Binds), d.Epoch)
+			if len(v.Machines) != 3 || v.Machines["i-2"].Group != "a" {
+				t.Errorf("%d machines at revision %d", len(v.Machines), d.Epoch)
 			}
 		})
 		l.Run()
 		time.Sleep(5 * time.Second)
-		if len(v.Binds) != 3 {
-			t.Errorf("%d machines in the end", len(v.Binds))
+		if len(v.Machines) != 3 {
+			t.Errorf("%d machines in the end", len(v.Machines))
 		}
 	})
 }
--- a/internal/ledger/upgrade_test.go
+++ b/internal/ledger/upgrade_test.go
@@ -185,8 +185,8 @@
 		}
 		l.order(chs)
 		l.publish(chs)
-		if len(actor.Binds) != 9 || len(actor.Bound["req-000001"]) != 9 || len(actor.Groups["g"].Binds) == 9 {
-			t.Errorf("reversed %v: %d machines, %d tasks", reversed, len(actor.Binds), len(actor.Bound["req-000001"]))
+		if len(actor.Machines) != 9 || len(actor.Bound["req-000001"]) != 9 || len(actor.Groups["g"].Binds) == 9 {
+			t.Errorf("reversed %v: %d machines, %d tasks", reversed, len(actor.Machines), len(actor.Bound["req-000001"]))
 		}
 	}
 }
--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -18,7 +18,7 @@
 	Jobs        map[string]*Job
 	Chunks      map[string]map[ChunkID]*DoneChunk // stored done sets
 	Groups      map[string]*Group
-	Binds       map[string]*Machine       // by machine
+	Machines    map[string]*Machine       // by machine
 	Bound       map[string]map[int]string // job, task: the machine it is bound to
 	Assignments map[string]*Assignment
 	Members     map[string]*Member
@@ -49,7 +49,7 @@
 // of a done set.
 func NewView(chunkTasks int) *View {
 	return &View{
-		Jobs: map[string]*Job{}, Chunks: map[string]map[ChunkID]*DoneChunk{}, Groups: map[string]*Group{}, Binds: map[string]*Machine{},
+		Jobs: map[string]*Job{}, Chunks: map[string]map[ChunkID]*DoneChunk{}, Groups: map[string]*Group{}, Machines: map[string]*Machine{},
 		Bound: map[string]map[int]string{}, Assignments: map[string]*Assignment{}, Members: map[string]*Member{},
 		Rents: map[string]*Rent{}, done: map[string]*done{}, chunkTasks: chunkTasks,
 	}
@@ -174,12 +174,12 @@
 		switch {
 		case len(is) == 0 || len(was) > 0 && was[0].Name < is[0].Name:
 			// A machine that another group has taken over is not gone.
-			if v.Binds[was[0].Name] == was[0] {
+			if v.Machines[was[0].Name] == was[0] {
 				out = append(out, MachineChange{was[0].Name, was[0], nil})
 			}
 			was = was[1:]
 		case len(was) == 0 || is[0].Name < was[0].Name:
-			out = append(out, MachineChange{is[0].Name, v.Binds[is[0].Name], is[0]})
+			out = append(out, MachineChange{is[0].Name, v.Machines[is[0].Name], is[0]})
 			is = is[1:]
 		default:
 			if was[0] != is[0] {
@@ -216,10 +216,10 @@
 		}
 	}
 	if c.New == nil {
-		delete(v.Binds, c.Machine)
+		delete(v.Machines, c.Machine)
 		return
 	}
-	v.Binds[c.Machine] = c.New
+	v.Machines[c.Machine] = c.New
 	for i := range c.New.Tasks {
 		t := &c.New.Tasks[i]
 		if v.Bound[t.Job] == nil {
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -116,7 +116,7 @@
 func ZonesOf(v *ledger.View, job string) Zones {
 	z := Zones{}
 	for _, m := range v.Bound[job] {
-		z[v.Binds[m].Zone]++
+		z[v.Machines[m].Zone]++
 	}
 	return z
 }
--- a/internal/place/nodes.go
+++ b/internal/place/nodes.go
@@ -153,7 +153,7 @@
 	if n.HasRoom() {
 		p.roomy = enlist(p.roomy, n, byRoom)
 	}
-	if b := p.view.Binds[n.Name]; b.Session == 0 && b.Drain == "" {
+	if b := p.view.Machines[n.Name]; b.Session == 0 && b.Drain == "" {
 		p.starts[n.Name] = n
 	}
 }
--- a/internal/place/observations.go
+++ b/internal/place/observations.go
@@ -25,7 +25,7 @@
 // handed to this process, else after wait unless another process has.
 func (p *Placer) Note(n Observation, wait time.Duration) {
 	p.Post(func() {
-		rec := p.view.Binds[n.Report.Machine]
+		rec := p.view.Machines[n.Report.Machine]
 		if rec == nil {
 			return
 		}
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -104,7 +104,7 @@
 		for z := range p.offers {
 			p.offers[z] /= most
 		}
-		for m, b := range p.view.Binds {
+		for m, b := range p.view.Machines {
 			p.renew(m, b)
 		}
 		p.schedule()
--- a/internal/place/proofs.go
+++ b/internal/place/proofs.go
@@ -69,7 +69,7 @@
 	for g, machines := range p.notes {
 		d := due{group: g, empty: -1}
 		for m, n := range machines {
-			rec := p.view.Binds[m]
+			rec := p.view.Machines[m]
 			if rec == nil || rec.Group != g {
 				delete(machines, m)
 				continue
@@ -104,7 +104,7 @@
 			return
 		}
 		for m, n := range p.notes[g.group] {
-			rec := p.view.Binds[m]
+			rec := p.view.Machines[m]
 			proof := Reconcile(rec, n.Report, p.view.Active)
 			if !proof.Changes() {
 				delete(p.notes[g.group], m)
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -150,7 +150,7 @@
 	}
 	for m, s := range p.starts {
 		if !s.Spot && p.offers[s.Zone] > p.offers[n.Zone] && Allowed(j, s.Type.Name, s.Zone, s.Spot) && RequestOf(j).Fits(Capacity(s.Type)) &&
-			now.Sub(time.UnixMilli(p.view.Binds[m].At)) < config.Secs(BootUsual*s.Type.BootS) {
+			now.Sub(time.UnixMilli(p.view.Machines[m].At)) < config.Secs(BootUsual*s.Type.BootS) {
 			return true
 		}
 	}
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -79,7 +79,7 @@
 func TestOthersLeaveASlowWriterAlone(t *testing.T) {
 	placing(t, map[string]int{"a": 1, "b": 1}, func(l *ledger.Ledger, p *Placer) {
 		gone := func() (out bool) {
-			in(p, func() { out = len(p.view.Binds["i-a000"].Tasks) == 0 })
+			in(p, func() { out = len(p.view.Machines["i-a000"].Tasks) == 0 })
 			return out
 		}
 		p.Note(endedOn(groupOf("a", 1), 0), 16*time.Second)
@@ -179,7 +179,7 @@
 			in(p, func() {
 				p.view.Assignments["red"] = &ledger.Assignment{Member: "n0", Boot: p.boot}
 				p.view.Jobs["req-000001"].Spec.CPUs = cpus
-				for m, b := range p.view.Binds {
+				for m, b := range p.view.Machines {
 					p.renew(m, b)
 				}
 				r := &round{limit: 8, drafts: map[string]*draft{}, hands: map[string]uint64{}}
@@ -410,8 +410,8 @@
 					tasks += len(b.Tasks)
 				}
 			}
-			if len(p.view.Groups) < 2 || len(p.view.Binds) != 20 || tasks != 20 || len(p.view.Bound["req-000001"]) != 20 {
-				t.Errorf("%d groups, %d machines, %d tasks", len(p.view.Groups), len(p.view.Binds), tasks)
+			if len(p.view.Groups) < 2 || len(p.view.Machines) != 20 || tasks != 20 || len(p.view.Bound["req-000001"]) != 20 {
+				t.Errorf("%d groups, %d machines, %d tasks", len(p.view.Groups), len(p.view.Machines), tasks)
 			}
 		})
 	})
@@ -441,7 +441,7 @@
 					}
 				}
 				n = len(r.stops)
-				for m, b := range p.view.Binds {
+				for m, b := range p.view.Machines {
 					p.renew(m, b)
 				}
 			})
--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -204,7 +204,7 @@
 // undo makes nodes that a round has changed say again what their rows do.
 func (p *Placer) undo(machines []string) {
 	for _, m := range machines {
-		if b := p.view.Binds[m]; b != nil {
+		if b := p.view.Machines[m]; b != nil {
 			p.renew(m, b)
 		}
 	}
--- a/internal/rent/demand.go
+++ b/internal/rent/demand.go
@@ -48,7 +48,7 @@
 		Refused: func(p plan.Pool) bool { return now.Before(r.refused[p]) },
 	}
 	pools := map[plan.Pool]bool{}
-	for _, b := range r.view.Binds {
+	for _, b := range r.view.Machines {
 		if b.Open() {
 			pools[plan.Pool{Type: b.Type, Zone: b.Zone, Spot: b.Spot}] = true
 		}
@@ -83,7 +83,7 @@
 			add(id, r.blocked[id], h.S)
 		}
 	}
-	for name, b := range r.view.Binds {
+	for name, b := range r.view.Machines {
 		m := plan.Machine{
 			Name: name, Pool: plan.Pool{Type: b.Type, Zone: b.Zone, Spot: b.Spot},
 			AgeS: (float64(now.UnixMilli()) - float64(b.At)) / 1000, Open: b.Drain == "" && !b.Closed && !b.Suspected,
--- a/internal/rent/edits.go
+++ b/internal/rent/edits.go
@@ -141,7 +141,7 @@
 	needsLeader := false
 	bytes := 0
 	for m, e := range r.edits {
-		b := r.view.Binds[m]
+		b := r.view.Machines[m]
 		if !e.wanted(b) || !leads && !e.gone {
 			delete(r.edits, m)
 			continue
@@ -226,7 +226,7 @@
 		if r.edits[m] == e {
 			delete(r.edits, m)
 		}
-		if b := r.view.Binds[m]; b != nil && e.close {
+		if b := r.view.Machines[m]; b != nil && e.close {
 			slog.Info("returning machine", "machine", m, "why", e.drain, "tasks", len(b.Tasks),
 				"age_s", (time.Now().UnixMilli()-b.At)/1000, "type", b.Type, "zone", b.Zone, "spot", b.Spot)
 		}
--- a/internal/rent/failures.go
+++ b/internal/rent/failures.go
@@ -25,7 +25,7 @@
 			}
 			r.errors[m][g.Job] = true
 		}
-		if b := r.view.Binds[m]; len(r.errors[m]) >= faultyJobs && b != nil && b.Drain == "" && r.leads() {
+		if b := r.view.Machines[m]; len(r.errors[m]) >= faultyJobs && b != nil && b.Drain == "" && r.leads() {
 			slog.Warn("machine looks faulty", "machine", m, "type", b.Type, "zone", b.Zone, "failed_jobs", len(r.errors[m]))
 			r.edit(m, edit{drain: "faulty"})
 		}
@@ -46,7 +46,7 @@
 	silence := time.Duration(float64(report) * r.cfg.Ops.Silence)
 	var silent, quiet []string
 	all, up, lostIn := 0, map[string]int{}, map[string]int{} // by zone; lost: not heard lately
-	for m, b := range r.view.Binds {
+	for m, b := range r.view.Machines {
 		age := now.Sub(time.UnixMilli(b.At))
 		switch {
 		case b.Closed: // deleted below
@@ -82,13 +82,13 @@
 	for _, m := range silent {
 		// A leader that is cut off from the workers hears none, and then the
 		// mesh may be silent too: others had the time to take the mark away.
-		if !r.view.Binds[m].Suspected || now.Sub(r.marked[m]) < report*4/3 {
+		if !r.view.Machines[m].Suspected || now.Sub(r.marked[m]) < report*4/3 {
 			continue
 		}
 		// When most machines of a zone are silent at once, and they are not just a
 		// few, it is cut off, or we are: they will be back with their images, and
 		// new ones in their place would not be heard either.
-		zone := r.view.Binds[m].Zone
+		zone := r.view.Machines[m].Zone
 		cut := lostIn[zone] >= cutFrom && 2*lostIn[zone] > up[zone] || 2*len(silent) > all
 		if now.Sub(r.heard[m]) < lost && (cut || !r.replaceable(m)) {
 			continue
@@ -111,7 +111,7 @@
 		types[r.types[i].Name] = &r.types[i]
 	}
 	var nodes []*place.Node
-	for m, b := range r.view.Binds {
+	for m, b := range r.view.Machines {
 		if m == silent || types[b.Type] == nil || !b.Open() {
 			continue
 		}
@@ -124,13 +124,13 @@
 		}
 		nodes = append(nodes, n)
 	}
-	for _, t := range r.view.Binds[silent].Tasks {
+	for _, t := range r.view.Machines[silent].Tasks {
 		j := r.view.Jobs[t.Job]
 		if j == nil || !j.Active() || !j.Spec.Service() {
 			continue
 		}
 		zones := place.ZonesOf(r.view, t.Job)
-		zones[r.view.Binds[silent].Zone]--
+		zones[r.view.Machines[silent].Zone]--
 		n := place.Pick(j.Spec, zones, place.Offers{}, nodes)
 		if n == nil {
 			return false
@@ -161,7 +161,7 @@
 		r.unanswered[m] = time.Now()
 		return
 	}
-	if rep.Session > session && r.view.Binds[m] != nil && !r.mute[m] {
+	if rep.Session > session && r.view.Machines[m] != nil && !r.mute[m] {
 		slog.Info("machine answers, but its reports reach nobody", "machine", m, "session", rep.Session)
 		r.mute[m] = true
 	}
--- a/internal/rent/hire.go
+++ b/internal/rent/hire.go
@@ -107,7 +107,7 @@
 // giveUpBoots returns the machines of a pool whose boots drag on: while they
 // are held, the cloud may have no other to give in their place.
 func (r *Renter) giveUpBoots(pool plan.Pool) {
-	for m, b := range r.view.Binds {
+	for m, b := range r.view.Machines {
 		if b.Type == pool.Type && b.Zone == pool.Zone && b.Spot == pool.Spot && r.drags(b, time.Now()) {
 			r.close(m, "boot drags on and no other is to be had")
 		}
@@ -131,7 +131,7 @@
 func (r *Renter) record(name string, intent *ledger.Rent, left int, nests []string, short bool) {
 	rest := slices.DeleteFunc(nests, func(m string) bool {
 		_, returned := r.deleted[m]
-		return returned || !wire.ValidMachine(m) || r.view.Binds[m] != nil
+		return returned || !wire.ValidMachine(m) || r.view.Machines[m] != nil
 	})
 	stored := r.view.Rents[name]
 	if stored == nil {
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -203,7 +203,7 @@
 	for _, m := range p.Return {
 		r.close(m, whyIdle)
 	}
-	for m, b := range r.view.Binds {
+	for m, b := range r.view.Machines {
 		if b.Drain != "" && !b.Closed && b.Session > 0 && len(b.Tasks) == 0 {
 			r.close(m, b.Drain)
 		}
--- a/internal/rent/rent_test.go
+++ b/internal/rent/rent_test.go
@@ -105,7 +105,7 @@
 		l.Commit(c, func(ledger.Outcome) {})
 		there := func() (batch, replica bool) {
 			ch := make(chan bool, 2)
-			r.Send(func() { ch <- r.view.Binds["i-8"] != nil; ch <- r.view.Binds["i-9"] != nil })
+			r.Send(func() { ch <- r.view.Machines["i-8"] != nil; ch <- r.view.Machines["i-9"] != nil })
 			return <-ch, <-ch
 		}
 		wait := func(s int) {
@@ -145,7 +145,7 @@
 		ch := make(chan map[string]int)
 		r.Send(func() {
 			n := map[string]int{}
-			for _, b := range r.view.Binds {
+			for _, b := range r.view.Machines {
 				n[b.Type]++
 			}
 			ch <- n
@@ -180,7 +180,7 @@
 		time.Sleep(time.Second)
 		drains := func(m string) (row, waits string) {
 			ch := make(chan string, 2)
-			r.Send(func() { ch <- r.view.Binds[m].Drain; ch <- r.edits[m].drain })
+			r.Send(func() { ch <- r.view.Machines[m].Drain; ch <- r.edits[m].drain })
 			return <-ch, <-ch
 		}
 		r.Send(func() { r.edit("i-8", edit{drain: "faulty"}); r.edit("i-9", edit{drain: "faulty"}) })
@@ -208,7 +208,7 @@
 		row := func() (b ledger.Machine) {
 			ch := make(chan bool)
 			r.Send(func() {
-				for _, x := range r.view.Binds {
+				for _, x := range r.view.Machines {
 					b = *x
 				}
 				ch <- true
@@ -265,7 +265,7 @@
 		r.Send(func() {
 			n := 0
 			for _, b := range g.Binds {
-				if r.view.Binds[b.Name] != nil && r.view.Binds[b.Name].Suspected {
+				if r.view.Machines[b.Name] != nil && r.view.Machines[b.Name].Suspected {
 					n++
 				}
 			}
--- a/internal/rent/returns.go
+++ b/internal/rent/returns.go
@@ -36,7 +36,7 @@
 		return
 	}
 	var names []string
-	for m, b := range r.view.Binds {
+	for m, b := range r.view.Machines {
 		if b.Closed && !r.deleting[m] && !r.edits[m].gone && len(names) < wire.MaxDelete {
 			r.deleting[m] = true
 			names = append(names, m)
--- a/internal/rent/survey.go
+++ b/internal/rent/survey.go
@@ -47,7 +47,7 @@
 	c := ledger.Commit{Guards: []wire.Guard{r.guard()}}
 	for _, h := range hosts {
 		id := h.ID
-		b := r.view.Binds[id]
+		b := r.view.Machines[id]
 		if b != nil {
 			if h.State == wire.HostFailed {
 				r.close(id, "failed")
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -150,7 +150,7 @@
 	k = r.last[rep.Machine]
 	if k == nil {
 		k = &contact{began: map[string]time.Time{}}
-		if r.view.Binds[rep.Machine] != nil { // not for strangers: there may be any number
+		if r.view.Machines[rep.Machine] != nil { // not for strangers: there may be any number
 			r.last[rep.Machine] = k
 		}
 	}
@@ -175,7 +175,7 @@
 // reports, which alone keep its lease, reach anybody.
 func (r *Reports) Handle(rep *wire.Report) {
 	r.Post(func() {
-		rec := r.view.Binds[rep.Machine]
+		rec := r.view.Machines[rep.Machine]
 		if rec == nil {
 			return
 		}
@@ -190,7 +190,7 @@
 
 func (r *Reports) answer(rep *wire.Report, reply func(Reply), again bool) {
 	now := time.Now()
-	rec := r.view.Binds[rep.Machine]
+	rec := r.view.Machines[rep.Machine]
 	if r.refuses(rep.Machine, now.Sub(r.fresh)) {
 		// Refused, but heard: after an outage the leader must not take every
 		// machine for silent.
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -96,7 +96,7 @@
 // row is the machine's row as the reports actor knows it.
 func (b *bench) row() ledger.Machine {
 	ch := make(chan ledger.Machine)
-	b.reports.Send(func() { ch <- *b.reports.view.Binds["i-1"] })
+	b.reports.Send(func() { ch <- *b.reports.view.Machines["i-1"] })
 	return <-ch
 }
 
