--- a/internal/place/nodes.go
+++ b/internal/place/nodes.go
@@ -33,8 +33,8 @@
 		return
 	}
 	if c.Old != nil && c.Old.Group != c.New.Group {
-		if n := p.notes[c.Old.Group][c.Machine]; n != nil {
-			delete(p.notes[c.Old.Group], c.Machine)
+		if n := p.observations[c.Old.Group][c.Machine]; n != nil {
+			delete(p.observations[c.Old.Group], c.Machine)
 			p.file(c.New.Group, c.Machine, n)
 		}
 	}
--- a/internal/place/observations.go
+++ b/internal/place/observations.go
@@ -30,7 +30,7 @@
 			return
 		}
 		due := time.Now().Add(wait)
-		old := p.notes[rec.Group][rec.Name]
+		old := p.observations[rec.Group][rec.Name]
 		if old != nil && !p.proves(rec, old) {
 			old = nil // it was written: what is new waits its own time
 		}
@@ -56,10 +56,10 @@
 
 // file puts a note with those of its group.
 func (p *Placer) file(group, machine string, n *pendingObservation) {
-	if p.notes[group] == nil {
-		p.notes[group] = map[string]*pendingObservation{}
+	if p.observations[group] == nil {
+		p.observations[group] = map[string]*pendingObservation{}
 	}
-	p.notes[group][machine] = n
+	p.observations[group][machine] = n
 }
 
 // ended counts the tasks that a report shows ended.
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -55,7 +55,7 @@
 	starts map[string]*Node // machines that are coming up
 	tally  Usage
 
-	notes         map[string]map[string]*pendingObservation // group, machine
+	observations  map[string]map[string]*pendingObservation // group, machine
 	proved        time.Time                                 // when somebody last wrote what reports proved
 	completeSince map[string]time.Time                      // complete jobs that are not called done yet, since
 	large         map[string]bool                           // groups whose records can hardly be written, or not at all
@@ -77,7 +77,7 @@
 		types: map[string]*wire.MachineType{}, active: map[string]*ledger.Job{}, runs: NewEstimates(), low: map[string]int{},
 		images: map[string][]image{}, failed: map[string]*failure{}, shaky: map[string]time.Time{}, yields: map[string]time.Time{},
 		nodes: map[string]*Node{}, pools: map[pool]poolStock{}, starts: map[string]*Node{}, tally: Usage{},
-		notes: map[string]map[string]*pendingObservation{}, completeSince: map[string]time.Time{}, large: map[string]bool{}, crowded: map[string]bool{}, fallen: map[string]*ledger.Job{},
+		observations: map[string]map[string]*pendingObservation{}, completeSince: map[string]time.Time{}, large: map[string]bool{}, crowded: map[string]bool{}, fallen: map[string]*ledger.Job{},
 	}
 	l.Subscribe(func(d ledger.Delta) { p.Send(func() { p.apply(d) }) })
 	p.Every(p.reportS(1.0/6), p.schedule)
@@ -133,7 +133,7 @@
 					p.noteIfComplete(job, now)
 				}
 			} else {
-				delete(p.notes, c.Name)
+				delete(p.observations, c.Name)
 				delete(p.large, c.Name)
 				delete(p.crowded, c.Name)
 			}
--- a/internal/place/proofs.go
+++ b/internal/place/proofs.go
@@ -66,7 +66,7 @@
 		empty float64 // seconds, of all places
 	}
 	var groups []due
-	for g, machines := range p.notes {
+	for g, machines := range p.observations {
 		d := due{group: g, empty: -1}
 		for m, n := range machines {
 			rec := p.view.Machines[m]
@@ -81,7 +81,7 @@
 			}
 		}
 		if len(machines) == 0 {
-			delete(p.notes, g)
+			delete(p.observations, g)
 		} else if d.empty >= 0 {
 			groups = append(groups, d)
 		}
@@ -103,11 +103,11 @@
 		if r.ops() >= limit || r.full() {
 			return
 		}
-		for m, n := range p.notes[g.group] {
+		for m, n := range p.observations[g.group] {
 			rec := p.view.Machines[m]
 			proof := Reconcile(rec, n.Report, p.view.Active)
 			if !proof.Changes() {
-				delete(p.notes[g.group], m)
+				delete(p.observations[g.group], m)
 				continue
 			}
 			p.prove(r, rec, n, &proof)
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -24,7 +24,7 @@
 	if ready := int(p.pace.TokensAt(now)); ready < limit {
 		// Full transactions cost less than many small ones; what waits longest
 		// waits no longer for it, since writes are what is short.
-		if ready < limit/2 && (len(p.notes) > 1 || len(p.completeSince) > 1) {
+		if ready < limit/2 && (len(p.observations) > 1 || len(p.completeSince) > 1) {
 			p.After(time.Duration(float64(limit/2-ready)/float64(p.pace.Limit())*float64(time.Second)), p.schedule)
 			return
 		}
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -291,7 +291,7 @@
 		p.Note(first, time.Minute)
 		p.Note(second, time.Minute)
 		in(p, func() {
-			n := p.notes["a"]["i-a000"]
+			n := p.observations["a"]["i-a000"]
 			if n == nil || len(n.RanS) != 2 {
 				t.Errorf("not put together: %+v", n)
 			}
--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -177,7 +177,7 @@
 	p.pace.ReserveN(r.now, c.Ops())
 	p.busy = true
 	slog.Debug("round", "writes", c.Ops(), "limit", r.limit, "groups", len(r.drafts), "of", len(p.view.Groups), "folds", len(r.folds), "ends", len(r.ends), "falls", len(r.cancellations),
-		"placed", sum(r.placed), "gone", r.gone, "notes_left", len(p.notes))
+		"placed", sum(r.placed), "gone", r.gone, "notes_left", len(p.observations))
 	p.ledger.Commit(c, func(out ledger.Outcome) {
 		p.Send(func() {
 			p.busy = false
