--- a/internal/place/repack.go
+++ b/internal/place/repack.go
@@ -20,10 +20,10 @@
 // openLarge takes groups into the round whose records are, or may become, too large
 // to be written: by what they hold, or since the limit of a value has fallen.
 func (p *Placer) openLarge(r *round) {
-	if len(p.large) == 0 || !p.placesAll() {
+	if len(p.largeRecords) == 0 || !p.placesAll() {
 		return
 	}
-	for _, groups := range []map[string]bool{p.large, p.crowded} {
+	for _, groups := range []map[string]bool{p.largeRecords, p.crowded} {
 		for group := range groups {
 			g := p.view.Groups[group]
 			if g == nil || len(g.Binds)+len(g.Marks) < 2 {
@@ -52,7 +52,7 @@
 		parts, err := d.Split(p.cfg.Params.State.ValueBytes(), maxParts)
 		if err != nil {
 			slog.Error("record can't be split; nothing is written", "group", group, "bytes", d.Kept(), "err", err)
-			delete(p.large, group)
+			delete(p.largeRecords, group)
 			return false
 		}
 		for _, part := range parts {
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -30,7 +30,7 @@
 		}
 		limit = ready
 	}
-	if most := p.cfg.Params.State.Ops(); limit < most && len(p.large) > 0 && p.placesAll() {
+	if most := p.cfg.Params.State.Ops(); limit < most && len(p.largeRecords) > 0 && p.placesAll() {
 		p.After(time.Duration(float64(most-limit)/float64(p.pace.Limit())*float64(time.Second)), p.schedule) // a split takes a whole one
 		return
 	}
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -396,7 +396,7 @@
 				t.Errorf("%d groups", len(p.view.Groups))
 			}
 			p.cfg.Params.State.Next = &config.StateNext{WriteRPS: 15, ValueKB: 0.5, TxnOps: 4}
-			p.large["a"] = true
+			p.largeRecords["a"] = true
 			p.schedule()
 		})
 		time.Sleep(10 * time.Second)
--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -103,7 +103,7 @@
 	if d := r.drafts[group]; d != nil {
 		return d
 	}
-	if r.full() || p.view.Groups[group] == nil || r.parts[group] == 0 && p.large[group] && p.view.Groups[group].Kept() > p.valueBytes(1) {
+	if r.full() || p.view.Groups[group] == nil || r.parts[group] == 0 && p.largeRecords[group] && p.view.Groups[group].Kept() > p.valueBytes(1) {
 		return nil
 	}
 	d := &draft{Draft: p.view.Draft(group)}
@@ -165,7 +165,7 @@
 			slog.Error("record too large; nothing is written", "group", d.Name, "bytes", d.Size(), "machines", len(d.Binds))
 			// Rows grow when they are rewritten in a later term: the next round splits the
 			// record, or it would be tried in vain again and again.
-			p.large[d.Name] = true
+			p.largeRecords[d.Name] = true
 			p.undo(touched)
 			return
 		}
