--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -59,7 +59,7 @@
 	proved        time.Time                                 // when somebody last wrote what reports proved
 	completeSince map[string]time.Time                      // complete jobs that are not called done yet, since
 	largeRecords  map[string]bool                           // groups whose records can hardly be written, or not at all
-	crowded       map[string]bool                           // groups whose records are full before their machines are
+	fullRecords   map[string]bool                           // groups whose records are full before their machines are
 	fallen        map[string]*ledger.Job                    // cancelled with a predecessor, which their own records don't say yet
 
 	busy      bool
@@ -77,7 +77,7 @@
 		types: map[string]*wire.MachineType{}, active: map[string]*ledger.Job{}, runs: NewEstimates(), low: map[string]int{},
 		images: map[string][]image{}, failed: map[string]*failure{}, shaky: map[string]time.Time{}, yields: map[string]time.Time{},
 		nodes: map[string]*Node{}, pools: map[pool]poolStock{}, starts: map[string]*Node{}, tally: Usage{},
-		observations: map[string]map[string]*pendingObservation{}, completeSince: map[string]time.Time{}, largeRecords: map[string]bool{}, crowded: map[string]bool{}, fallen: map[string]*ledger.Job{},
+		observations: map[string]map[string]*pendingObservation{}, completeSince: map[string]time.Time{}, largeRecords: map[string]bool{}, fullRecords: map[string]bool{}, fallen: map[string]*ledger.Job{},
 	}
 	l.Subscribe(func(d ledger.Delta) { p.Send(func() { p.apply(d) }) })
 	p.Every(p.reportS(1.0/6), p.schedule)
@@ -135,7 +135,7 @@
 			} else {
 				delete(p.observations, c.Name)
 				delete(p.largeRecords, c.Name)
-				delete(p.crowded, c.Name)
+				delete(p.fullRecords, c.Name)
 			}
 		case ledger.KindDone:
 			job, _, _ := strings.Cut(c.Name, "/")
--- a/internal/place/repack.go
+++ b/internal/place/repack.go
@@ -23,7 +23,7 @@
 	if len(p.largeRecords) == 0 || !p.placesAll() {
 		return
 	}
-	for _, groups := range []map[string]bool{p.largeRecords, p.crowded} {
+	for _, groups := range []map[string]bool{p.largeRecords, p.fullRecords} {
 		for group := range groups {
 			g := p.view.Groups[group]
 			if g == nil || len(g.Binds)+len(g.Marks) < 2 {
@@ -60,7 +60,7 @@
 			part.AddTo(c) // the record that it comes from follows with the other drafts
 		}
 		maps.Copy(r.hands, p.view.AssignmentStamps())
-		delete(p.crowded, group)
+		delete(p.fullRecords, group)
 	}
 	return true
 }
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -221,7 +221,7 @@
 	if d.size+ledger.TaskBytes(w.id) > p.valueBytes(fill) || r.bytes() > bodyBytes {
 		node.Open = false // in this round
 		if len(d.Binds) > 1 && d.Kept() > p.valueBytes(crowdedAt) {
-			p.crowded[d.Name] = true // full before its machines are
+			p.fullRecords[d.Name] = true // full before its machines are
 		}
 		slog.Debug("record is full", "group", node.Group)
 		return false
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -387,7 +387,7 @@
 			for _, h := range p.view.Assignments {
 				h.Boot = p.boot
 			}
-			p.crowded["a"] = true
+			p.fullRecords["a"] = true
 			p.schedule()
 		})
 		time.Sleep(5 * time.Second)
