--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -55,12 +55,12 @@
 	starts map[string]*Node // machines that are coming up
 	tally  Usage
 
-	observations  map[string]map[string]*pendingObservation // group, machine
-	proved        time.Time                                 // when somebody last wrote what reports proved
-	completeSince map[string]time.Time                      // complete jobs that are not called done yet, since
-	largeRecords  map[string]bool                           // groups whose records can hardly be written, or not at all
-	fullRecords   map[string]bool                           // groups whose records are full before their machines are
-	fallen        map[string]*ledger.Job                    // cancelled with a predecessor, which their own records don't say yet
+	observations        map[string]map[string]*pendingObservation // group, machine
+	proved              time.Time                                 // when somebody last wrote what reports proved
+	completeSince       map[string]time.Time                      // complete jobs that are not called done yet, since
+	largeRecords        map[string]bool                           // groups whose records can hardly be written, or not at all
+	fullRecords         map[string]bool                           // groups whose records are full before their machines are
+	cancelledDependents map[string]*ledger.Job                    // cancelled with a predecessor, which their own records don't say yet
 
 	busy      bool
 	scheduled bool
@@ -77,7 +77,7 @@
 		types: map[string]*wire.MachineType{}, active: map[string]*ledger.Job{}, runs: NewEstimates(), low: map[string]int{},
 		images: map[string][]image{}, failed: map[string]*failure{}, shaky: map[string]time.Time{}, yields: map[string]time.Time{},
 		nodes: map[string]*Node{}, pools: map[pool]poolStock{}, starts: map[string]*Node{}, tally: Usage{},
-		observations: map[string]map[string]*pendingObservation{}, completeSince: map[string]time.Time{}, largeRecords: map[string]bool{}, fullRecords: map[string]bool{}, fallen: map[string]*ledger.Job{},
+		observations: map[string]map[string]*pendingObservation{}, completeSince: map[string]time.Time{}, largeRecords: map[string]bool{}, fullRecords: map[string]bool{}, cancelledDependents: map[string]*ledger.Job{},
 	}
 	l.Subscribe(func(d ledger.Delta) { p.Send(func() { p.apply(d) }) })
 	p.Every(p.reportS(1.0/6), p.schedule)
@@ -143,9 +143,9 @@
 		case ledger.KindJob:
 			j, _ := c.Rec.(*ledger.Job)
 			if j != nil && j.Derived {
-				p.fallen[c.Name] = j
+				p.cancelledDependents[c.Name] = j
 			} else {
-				delete(p.fallen, c.Name)
+				delete(p.cancelledDependents, c.Name)
 			}
 			// A blocked job waits for others: it has no place in the queue, and counts
 			// towards nothing. Only records that say done make it ready.
--- a/internal/place/proofs.go
+++ b/internal/place/proofs.go
@@ -26,7 +26,7 @@
 // everybody derives it, so there is no haste, but what is over for good need not be
 // followed any more.
 func (p *Placer) endCancelledDependents(r *round, placing bool) {
-	for id, j := range p.fallen {
+	for id, j := range p.cancelledDependents {
 		if !placing || r.ops() >= r.limit/2 || !p.guardable(r) {
 			return
 		}
