--- a/internal/place/proofs.go
+++ b/internal/place/proofs.go
@@ -196,11 +196,11 @@
 			}
 		}
 		key := ledger.DoneKey(most, id)
-		set := r.folds[key]
+		set := r.doneSets[key]
 		if set == nil {
 			set = p.view.Chunks[most][id]
 		}
-		r.folds[key] = set.With(bits...)
+		r.doneSets[key] = set.With(bits...)
 		r.jobs[most] = p.view.Jobs[most].Stamp
 		if d.Marks[most] = rest; len(rest) == 0 {
 			delete(d.Marks, most)
@@ -218,7 +218,7 @@
 		return id
 	}
 	reach := bit + 1
-	if set := r.folds[ledger.DoneKey(job, id)]; set != nil {
+	if set := r.doneSets[ledger.DoneKey(job, id)]; set != nil {
 		reach = max(reach, set.Tasks())
 	} else if set := p.view.Chunks[job][id]; set != nil {
 		reach = max(reach, set.Tasks())
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -39,7 +39,7 @@
 		return
 	}
 	r := &round{
-		now: now, limit: limit, drafts: map[string]*draft{}, folds: map[string]*ledger.DoneChunk{}, ends: map[string]int{},
+		now: now, limit: limit, drafts: map[string]*draft{}, doneSets: map[string]*ledger.DoneChunk{}, ends: map[string]int{},
 		parts: map[string]int{}, cancellations: map[string]*ledger.Job{}, marks: map[string]int{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{}, tally: maps.Clone(p.tally),
 		starts: map[string][]wire.Order{}, stops: map[string][]wire.Order{}, rows: map[string]*ledger.Machine{}, judged: map[*Node]bool{},
 	}
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -112,7 +112,7 @@
 					p.file("b", n.Report.Machine, &pendingObservation{n, now.Add(-bWaits), 1})
 				}
 				r := &round{
-					now: now, limit: 1, drafts: map[string]*draft{}, folds: map[string]*ledger.DoneChunk{}, ends: map[string]int{}, marks: map[string]int{},
+					now: now, limit: 1, drafts: map[string]*draft{}, doneSets: map[string]*ledger.DoneChunk{}, ends: map[string]int{}, marks: map[string]int{},
 					jobs: map[string]uint64{}, hands: map[string]uint64{}, tally: Usage{},
 				}
 				p.takeNotes(r, true, false)
@@ -140,14 +140,14 @@
 	placing(t, map[string]int{"a": 30}, func(_ *ledger.Ledger, p *Placer) {
 		fold := func(fill func(d *draft)) (n int) {
 			in(p, func() {
-				r := &round{limit: 8, drafts: map[string]*draft{}, folds: map[string]*ledger.DoneChunk{}, ends: map[string]int{}, jobs: map[string]uint64{}}
+				r := &round{limit: 8, drafts: map[string]*draft{}, doneSets: map[string]*ledger.DoneChunk{}, ends: map[string]int{}, jobs: map[string]uint64{}}
 				d := p.open(r, "a")
 				fill(d)
 				if d.Size() <= p.valueBytes(foldFill) {
 					t.Error("the record has room")
 				}
 				p.fold(r, d)
-				n = len(r.folds)
+				n = len(r.doneSets)
 			})
 			return n
 		}
@@ -357,7 +357,7 @@
 			p.cfg.Params.State.Next = &config.StateNext{WriteRPS: 15, ValueKB: 1, TxnOps: 4}
 			p.cfg.Rates = &config.Rates{}
 			part := ledger.PartTasks(1024)
-			r := &round{folds: map[string]*ledger.DoneChunk{}}
+			r := &round{doneSets: map[string]*ledger.DoneChunk{}}
 			for _, task := range []int{0, part - 1, part, 9000} {
 				if id := p.recordOf(r, "req-000001", task); id != (ledger.ChunkID{From: ledger.Whole}) {
 					t.Errorf("before: task %d goes to %v", task, id)
@@ -501,7 +501,7 @@
 				p.file("a", n.Report.Machine, &pendingObservation{n, time.Now(), 1})
 			}
 			r := &round{
-				now: time.Now(), limit: 8, drafts: map[string]*draft{}, folds: map[string]*ledger.DoneChunk{}, ends: map[string]int{}, marks: map[string]int{},
+				now: time.Now(), limit: 8, drafts: map[string]*draft{}, doneSets: map[string]*ledger.DoneChunk{}, ends: map[string]int{}, marks: map[string]int{},
 				jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{}, tally: Usage{}, rows: map[string]*ledger.Machine{}, starts: map[string][]wire.Order{},
 			}
 			if full := p.view.Groups["a"].Kept(); full < p.valueBytes(recordFill)*9/10 {
--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -14,7 +14,7 @@
 	now           time.Time
 	limit         int // writes
 	drafts        map[string]*draft
-	folds         map[string]*ledger.DoneChunk // by key
+	doneSets      map[string]*ledger.DoneChunk // by key
 	ends          map[string]int               // jobs that end: writes that takes
 	parts         map[string]int               // groups to split: new records at most
 	cancellations map[string]*ledger.Job       // jobs whose cancellation is stored
@@ -57,7 +57,7 @@
 }
 
 func (r *round) ops() int {
-	n := len(r.drafts) + len(r.folds) + len(r.cancellations)
+	n := len(r.drafts) + len(r.doneSets) + len(r.cancellations)
 	for _, parts := range r.parts {
 		n += parts
 	}
@@ -77,7 +77,7 @@
 	for _, d := range r.drafts {
 		n += d.size + ledger.WriteBytes
 	}
-	for _, f := range r.folds {
+	for _, f := range r.doneSets {
 		n += 4*len(f.Bits)/3 + ledger.WriteBytes
 	}
 	n += ledger.WriteBytes * (len(r.ends) + len(r.cancellations)*(1+fallBytes/ledger.WriteBytes))
@@ -138,7 +138,7 @@
 	for id, stamp := range r.jobs {
 		c.Guards = append(c.Guards, wire.Guard{Key: ledger.Key(ledger.KindJob, id), Version: stamp})
 	}
-	for key, d := range r.folds {
+	for key, d := range r.doneSets {
 		c.Guards = append(c.Guards, wire.Guard{Key: key, Version: d.Stamp})
 		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: d})
 	}
@@ -176,7 +176,7 @@
 	}
 	p.pace.ReserveN(r.now, c.Ops())
 	p.busy = true
-	slog.Debug("round", "writes", c.Ops(), "limit", r.limit, "groups", len(r.drafts), "of", len(p.view.Groups), "folds", len(r.folds), "ends", len(r.ends), "falls", len(r.cancellations),
+	slog.Debug("round", "writes", c.Ops(), "limit", r.limit, "groups", len(r.drafts), "of", len(p.view.Groups), "folds", len(r.doneSets), "ends", len(r.ends), "falls", len(r.cancellations),
 		"placed", sum(r.placed), "gone", r.gone, "notes_left", len(p.observations))
 	p.ledger.Commit(c, func(out ledger.Outcome) {
 		p.Send(func() {
