--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -11,29 +11,29 @@
 // round is one commit in the making: what reports prove, jobs that end by it,
 // and new bindings, all that concerns a group in one write.
 type round struct {
-	now           time.Time
-	limit         int // writes
-	drafts        map[string]*draft
-	doneSets      map[string]*ledger.DoneChunk // by key
-	ends          map[string]int               // jobs that end: writes that takes
-	parts         map[string]int               // groups to split: new records at most
-	cancellations map[string]*ledger.Job       // jobs whose cancellation is stored
-	marks         map[string]int               // jobs: tasks marked here
-	jobs          map[string]uint64            // guarded jobs
-	hands         map[string]uint64
-	placed        map[string]int
-	tally         Usage
-	owed          map[string]bool
-	starts        map[string][]wire.Order
-	stops         map[string][]wire.Order
-	gone          int                        // tasks that left
-	said          int                        // bytes of what the records say of them
-	rows          map[string]*ledger.Machine // of the machines with starts
-	log           []func()
-	judged        map[*Node]bool            // brought up to date for choices of victims
-	near          []*Node                   // with room, in groups that are written anyhow
-	nearOf        int                       // number of those groups
-	tries         map[wire.Priority]float64 // part of the jobs that may look for others' places
+	now            time.Time
+	limit          int // writes
+	drafts         map[string]*draft
+	doneSets       map[string]*ledger.DoneChunk // by key
+	ends           map[string]int               // jobs that end: writes that takes
+	parts          map[string]int               // groups to split: new records at most
+	cancellations  map[string]*ledger.Job       // jobs whose cancellation is stored
+	marks          map[string]int               // jobs: tasks marked here
+	jobs           map[string]uint64            // guarded jobs
+	hands          map[string]uint64
+	placed         map[string]int
+	tally          Usage
+	owed           map[string]bool
+	starts         map[string][]wire.Order
+	stops          map[string][]wire.Order
+	gone           int                        // tasks that left
+	departureBytes int                        // bytes of what the records say of them
+	rows           map[string]*ledger.Machine // of the machines with starts
+	log            []func()
+	judged         map[*Node]bool            // brought up to date for choices of victims
+	near           []*Node                   // with room, in groups that are written anyhow
+	nearOf         int                       // number of those groups
+	tries          map[wire.Priority]float64 // part of the jobs that may look for others' places
 }
 
 type draft struct {
@@ -73,7 +73,7 @@
 // bytes is at most the size of the commit. Records may have a size at which a
 // transaction reaches the limit of a body long before that of its writes.
 func (r *round) bytes() int {
-	n := r.said
+	n := r.departureBytes
 	for _, d := range r.drafts {
 		n += d.size + ledger.WriteBytes
 	}
