--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -51,7 +51,7 @@
 		p.end(r, job)
 	}
 	p.endCancelledDependents(r, len(mine) > 0)
-	r.tries = triesOf(q)
+	r.searchShare = triesOf(q)
 	for _, w := range q {
 		p.placeJob(r, w)
 	}
@@ -137,7 +137,7 @@
 	within, _ := p.cfg.StartWithin(spec.Class)
 	age := r.now.Sub(time.UnixMilli(w.job.RunnableSince())).Seconds()
 	patient := !w.job.PriorityInherited && (spec.Rank == wire.RankProd || age >= (within-p.cfg.Params.Workers.ReportS/3)/2) || w.hurried()
-	seeks := p.rng.Float64() < r.tries[spec.Rank]
+	seeks := p.rng.Float64() < r.searchShare[spec.Rank]
 	sample := avoid(p.candidates(r, spec))
 	var others []*Node
 	failing := p.failed[w.id] != nil && p.failed[w.id].count >= probeAfter
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -236,13 +236,13 @@
 				}
 				r := &round{
 					now: time.Now(), limit: 8, drafts: map[string]*draft{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{},
-					tally: Usage{}, judged: map[*Node]bool{}, tries: map[wire.Priority]float64{wire.RankProd: 1},
+					tally: Usage{}, judged: map[*Node]bool{}, searchShare: map[wire.Priority]float64{wire.RankProd: 1},
 				}
 				p.placeJob(r, q[0])
 				if n := len(r.judged); n != maxSample {
 					t.Errorf("%d of %d machines looked at for one job", n, size.machines)
 				}
-				r.tries[wire.RankProd] = 0
+				r.searchShare[wire.RankProd] = 0
 				r.judged = map[*Node]bool{}
 				if p.placeJob(r, q[0]); len(r.judged) > 0 {
 					t.Error("looked out of turn")
@@ -432,7 +432,7 @@
 				p.view.Assignments["red"] = &ledger.Assignment{Member: "n0", Boot: p.boot}
 				r := &round{
 					now: now, limit: 8, drafts: map[string]*draft{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{},
-					tally: Usage{}, judged: map[*Node]bool{}, tries: map[wire.Priority]float64{wire.RankHigh: 1}, starts: map[string][]wire.Order{},
+					tally: Usage{}, judged: map[*Node]bool{}, searchShare: map[wire.Priority]float64{wire.RankHigh: 1}, starts: map[string][]wire.Order{},
 					stops: map[string][]wire.Order{}, rows: map[string]*ledger.Machine{},
 				}
 				for _, w := range p.queue(p.mine(), now) {
--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -33,7 +33,7 @@
 	judged         map[*Node]bool            // brought up to date for choices of victims
 	near           []*Node                   // with room, in groups that are written anyhow
 	nearOf         int                       // number of those groups
-	tries          map[wire.Priority]float64 // part of the jobs that may look for others' places
+	searchShare    map[wire.Priority]float64 // part of the jobs that may look for others' places
 }
 
 type draft struct {
