--- a/cmd/lynxledge/cluster_test.go
+++ b/cmd/lynxledge/cluster_test.go
@@ -21,8 +21,8 @@
 	_ "lynxledge/internal/seeded"
 
 	"lynxledge/internal/config"
+	"lynxledge/internal/fakes"
 	"lynxledge/internal/ledger"
-	"lynxledge/internal/standin"
 	"lynxledge/wire"
 )
 
@@ -68,15 +68,15 @@
 	{Name: "l", CPUs: 16, MemoryGB: 64, CacheGB: 20, FetchGBps: 1, Price: 4.5, SpotPrice: 1.5, BootS: 20, Zones: []string{"a"}},
 }
 
-// world is a cluster of this program over the stand-ins.
+// world is a cluster of this program over the fakes.
 type world struct {
 	ctx   context.Context
 	cfg   *config.Config
-	rules *standin.Rules
-	state *standin.State
-	net   *standin.Net
-	cloud *standin.Cloud
-	pipes *standin.Pipes
+	rules *fakes.Rules
+	state *fakes.State
+	net   *fakes.Net
+	cloud *fakes.Cloud
+	pipes *fakes.Pipes
 	nodes []string
 	up    map[string]context.CancelFunc
 	doors map[string]http.Handler
@@ -108,18 +108,18 @@
 		tweak(&cfg.Params)
 	}
 	w := &world{
-		ctx: ctx, cfg: cfg, rules: standin.NewRules(cfg.Params), state: standin.NewState(),
-		net: standin.NewNet(seed, 5*time.Millisecond),
+		ctx: ctx, cfg: cfg, rules: fakes.NewRules(cfg.Params), state: fakes.NewState(),
+		net: fakes.NewNet(seed, 5*time.Millisecond),
 		up:  map[string]context.CancelFunc{}, doors: map[string]http.Handler{}, rng: rand.New(rand.NewPCG(seed, 9)), types: size.types,
 	}
-	w.pipes = standin.NewPipes(w.net)
+	w.pipes = fakes.NewPipes(w.net)
 	for i := range size.nodes {
 		w.nodes = append(w.nodes, fmt.Sprintf("n%d", i))
 	}
-	opt := standin.WorkerOptions{
+	opt := fakes.WorkerOptions{
 		Report: config.Secs(cfg.Params.Workers.ReportS), Lease: config.Secs(cfg.Params.Workers.LeaseS),
 		Nodes: w.nodes, Net: w.net, Rules: w.rules, Fetch: time.Second,
-		Post: func(node string) standin.Post {
+		Post: func(node string) fakes.Post {
 			door := w.doors[node]
 			if door == nil {
 				return nil
@@ -127,8 +127,8 @@
 			return func(_ context.Context, rep *wire.Report) (wire.ReportReply, string, bool) { return hello(door, rep) }
 		},
 	}
-	w.cloud = standin.NewCloud(seed, size.types, size.pool, 10*time.Second, func(h wire.Host) *standin.Worker {
-		return standin.NewWorker(ctx, h, opt, int((seed+uint64(h.ID[len(h.ID)-1]))%uint64(len(w.nodes))))
+	w.cloud = fakes.NewCloud(seed, size.types, size.pool, 10*time.Second, func(h wire.Host) *fakes.Worker {
+		return fakes.NewWorker(ctx, h, opt, int((seed+uint64(h.ID[len(h.ID)-1]))%uint64(len(w.nodes))))
 	})
 	w.cloud.SetLimits(size.pools)
 	for _, n := range w.nodes {
@@ -165,9 +165,9 @@
 		}
 	}
 	n := assemble(ctx, &cfg, w.rng.Uint64()>>1, links{
-		state:   &standin.Conn{State: w.state, Net: w.net, Node: name, Timeout: 1500 * time.Millisecond},
-		cloud:   &standin.CloudConn{Cloud: w.cloud, Net: w.net, Node: name, Timeout: 4 * time.Second, World: w.ctx},
-		workers: &standin.WorkerConn{Cloud: w.cloud, Net: w.net, Node: name, Timeout: 3 * time.Second},
+		state:   &fakes.Conn{State: w.state, Net: w.net, Node: name, Timeout: 1500 * time.Millisecond},
+		cloud:   &fakes.CloudConn{Cloud: w.cloud, Net: w.net, Node: name, Timeout: 4 * time.Second, World: w.ctx},
+		workers: &fakes.WorkerConn{Cloud: w.cloud, Net: w.net, Node: name, Timeout: 3 * time.Second},
 		peers:   w.pipes.Dial(name),
 	})
 	go n.mesh.Serve(w.pipes.Listen(name, cfg.MeshAddr), n.front.Handler())
@@ -246,7 +246,7 @@
 		w.pipeline(a)
 	case "lower limits":
 		if n := w.next; n != nil {
-			w.state.SetLimits(standin.Limits{WriteRPS: n.WriteRPS, ValueKB: n.ValueKB, TxnOps: n.TxnOps})
+			w.state.SetLimits(fakes.Limits{WriteRPS: n.WriteRPS, ValueKB: n.ValueKB, TxnOps: n.TxnOps})
 		}
 	case "resubmit":
 		if len(w.known) > 0 {
@@ -276,7 +276,7 @@
 	case "cut node", "hold node":
 		w.net.Cut(node, "", a.Kind == "hold node")
 	case "cut state", "hold state":
-		w.net.Cut(node, standin.StateHost, a.Kind == "hold state")
+		w.net.Cut(node, fakes.StateHost, a.Kind == "hold state")
 	case "isolate":
 		w.isolate(node)
 	case "cut worker", "hold worker":
@@ -310,7 +310,7 @@
 	case "end refusals":
 		w.calmState()
 	case "slow state":
-		w.net.Slow(standin.StateHost, time.Duration(200*(1+a.A))*time.Millisecond)
+		w.net.Slow(fakes.StateHost, time.Duration(200*(1+a.A))*time.Millisecond)
 	case "late writes":
 		w.state.SetLate(0.2)
 	case "mute worker":
@@ -344,7 +344,7 @@
 // isolate leaves a controller neither state nor peers; workers still reach it.
 func (w *world) isolate(node string) {
 	hold := w.rng.IntN(2) == 0
-	w.net.Cut(node, standin.StateHost, hold)
+	w.net.Cut(node, fakes.StateHost, hold)
 	for _, other := range w.nodes {
 		if other != node {
 			w.net.Cut(node, other, hold)
@@ -386,7 +386,7 @@
 		w.state.Refuse(n, false)
 	}
 	w.state.SetLate(0)
-	w.net.Slow(standin.StateHost, 0)
+	w.net.Slow(fakes.StateHost, 0)
 }
 
 // meetEnds has users ask, cancel or submit again at the very moment at which a
@@ -552,7 +552,7 @@
 		defer cancel()
 		w := newWorld(ctx, seed, small, tweak)
 		if s := w.cfg.Params.State; seed%2 == 1 { // the limits may fall, which controllers that start later know
-			w.state.SetLimits(standin.Limits{WriteRPS: s.WriteRPS, ValueKB: s.ValueKB, TxnOps: s.TxnOps})
+			w.state.SetLimits(fakes.Limits{WriteRPS: s.WriteRPS, ValueKB: s.ValueKB, TxnOps: s.TxnOps})
 			w.next = &config.StateNext{WriteRPS: s.WriteRPS / 2, ValueKB: max(1, s.ValueKB/4), TxnOps: max(4, s.TxnOps/2)}
 			for _, n := range w.nodes {
 				w.bounce(n)
@@ -656,7 +656,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		w := newWorld(ctx, 1, small, nil)
 		w.pass(10 * time.Second)
-		w.net.Cut("n0", standin.StateHost, false)
+		w.net.Cut("n0", fakes.StateHost, false)
 		w.pass(10 * time.Second)
 		j := &wire.Job{
 			ID: "req-000001", Class: "c", Team: "blue", Shape: wire.ShapeArray, Rank: wire.RankNormal, Tasks: 1,
@@ -701,7 +701,7 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			w := newWorld(ctx, seed, small, func(p *config.Params) { p.Teams = []config.Team{{Name: "red"}, {Name: "blue"}} })
 			s := w.cfg.Params.State
-			w.state.SetLimits(standin.Limits{WriteRPS: s.WriteRPS, ValueKB: s.ValueKB, TxnOps: s.TxnOps})
+			w.state.SetLimits(fakes.Limits{WriteRPS: s.WriteRPS, ValueKB: s.ValueKB, TxnOps: s.TxnOps})
 			w.pass(5 * time.Second)
 			for i := range 12 {
 				w.array(fmt.Sprintf("req-0000%02d", i), []string{"red", "blue"}[i%2], 30, time.Duration(20+40*(i%3))*time.Second, nil)
@@ -716,7 +716,7 @@
 				w.array(fmt.Sprintf("req-0001%02d", i), "red", 10, 30*time.Second, nil)
 				w.pass(8 * time.Second)
 			}
-			w.state.SetLimits(standin.Limits{WriteRPS: 15, ValueKB: 1, TxnOps: 4})
+			w.state.SetLimits(fakes.Limits{WriteRPS: 15, ValueKB: 1, TxnOps: 4})
 			w.bounce(w.leader())
 			for i := range 6 {
 				w.array(fmt.Sprintf("req-0002%02d", i), "blue", 20, 15*time.Second, nil)
--- a/cmd/lynxledge/fleet_test.go
+++ b/cmd/lynxledge/fleet_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"lynxledge/internal/config"
-	"lynxledge/internal/standin"
+	"lynxledge/internal/fakes"
 	"lynxledge/wire"
 )
 
@@ -80,7 +80,7 @@
 		p.Teams = []config.Team{{Name: "red", CPUs: 2000}, {Name: "blue", CPUs: 2000}}
 	})
 	s := w.cfg.Params.State
-	w.state.SetLimits(standin.Limits{WriteRPS: s.WriteRPS, ValueKB: s.ValueKB, TxnOps: s.TxnOps, Keep: 500})
+	w.state.SetLimits(fakes.Limits{WriteRPS: s.WriteRPS, ValueKB: s.ValueKB, TxnOps: s.TxnOps, Keep: 500})
 	w.pass(5 * time.Second)
 	n := 0
 	job := func(class string, tasks int) *wire.Job {
--- a/cmd/lynxledge/meetings_test.go
+++ b/cmd/lynxledge/meetings_test.go
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"lynxledge/internal/standin"
+	"lynxledge/internal/fakes"
 	"lynxledge/wire"
 )
 
@@ -146,7 +146,7 @@
 		}
 	}},
 	{"more work than room over slow links", func(t *testing.T, w *world) {
-		w.net.Slow(standin.StateHost, 1200*time.Millisecond)
+		w.net.Slow(fakes.StateHost, 1200*time.Millisecond)
 		w.net.SetFates(0.05, 0)
 		for i := range 12 {
 			w.array(fmt.Sprintf("req-0002%02d", i), []string{"red", "blue"}[i%2], 10, 20*time.Second, func(j *wire.Job) {
@@ -204,7 +204,7 @@
 			}
 		}
 		w.isolate(cut)
-		w.net.Cut(cut, standin.CloudHost, true)
+		w.net.Cut(cut, fakes.CloudHost, true)
 		w.pass(45 * time.Second)
 	}},
 	{"transactions carried out late", func(_ *testing.T, w *world) {
@@ -280,7 +280,7 @@
 		w.pass(30 * time.Second)
 	}},
 	{"state slow, then refused, then out, while users cancel and ask", func(_ *testing.T, w *world) {
-		w.net.Slow(standin.StateHost, 3*time.Second)
+		w.net.Slow(fakes.StateHost, 3*time.Second)
 		w.pass(10 * time.Second)
 		w.state.Refuse(w.leader(), true)
 		w.cancel(longJobs[0], w.nodes...)
--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -14,10 +14,10 @@
 	"strings"
 	"time"
 
+	"lynxledge/internal/apiserver"
 	"lynxledge/internal/cloud"
 	"lynxledge/internal/config"
 	"lynxledge/internal/election"
-	"lynxledge/internal/frontdoor"
 	"lynxledge/internal/ledger"
 	"lynxledge/internal/mesh"
 	"lynxledge/internal/place"
@@ -113,7 +113,7 @@
 
 // node is a controller's actors that take requests.
 type node struct {
-	front *frontdoor.Server
+	front *apiserver.Server
 	mesh  *mesh.Mesh
 }
 
@@ -138,7 +138,7 @@
 		Note: func(n place.Observation, wait time.Duration) { placer.Note(n, wait) },
 	})
 	placer = place.Start(ctx, cfg, boot, led, to.workers, rep.Handle)
-	front := frontdoor.Start(ctx, cfg, led, rep, msh)
+	front := apiserver.Start(ctx, cfg, led, rep, msh)
 	renter := rent.Start(ctx, cfg, boot, led, to.cloud, to.workers, rep.Handle)
 	rep.Heard(msh.Heard)
 	rep.Heard(renter.Heard)
--- a/internal/frontdoor/answers.go
+++ b/internal/apiserver/answers.go
@@ -1,4 +1,4 @@
-package frontdoor
+package apiserver
 
 import (
 	"encoding/json"
--- a/internal/frontdoor/bench_test.go
+++ b/internal/apiserver/bench_test.go
@@ -1,4 +1,4 @@
-package frontdoor
+package apiserver
 
 import (
 	"bytes"
@@ -13,10 +13,10 @@
 	"time"
 
 	"lynxledge/internal/config"
+	"lynxledge/internal/fakes"
 	"lynxledge/internal/ledger"
 	"lynxledge/internal/place"
 	"lynxledge/internal/reports"
-	"lynxledge/internal/standin"
 	"lynxledge/wire"
 )
 
@@ -34,7 +34,7 @@
 	cfg.Params.Workers = config.Workers{ReportS: 8, LeaseS: 44, CancelS: 74}
 	cfg.Params.State = config.State{ValueKB: 4, TxnOps: 8, RPS: 1e6, WriteRPS: 1e6}
 	cfg.Params.Teams = []config.Team{{Name: "red"}}
-	conn := &standin.Conn{State: standin.NewState(), Net: standin.NewNet(1, 0), Node: "n0", Timeout: time.Second}
+	conn := &fakes.Conn{State: fakes.NewState(), Net: fakes.NewNet(1, 0), Node: "n0", Timeout: time.Second}
 	l := ledger.Start(ctx, conn, ledger.Options{ChunkTasks: ledger.ChunkTasks(4), Hold: time.Second, MaxAge: time.Second, Backoff: 100 * time.Millisecond})
 	reporter := reports.Start(ctx, cfg, 1, l, reports.Links{
 		Elsewhere: func() string { return "" },
--- a/internal/frontdoor/frontdoor.go
+++ b/internal/apiserver/server.go
@@ -1,5 +1,5 @@
-// Package frontdoor answers users, health checks and workers over HTTP.
-package frontdoor
+// Package apiserver answers users, health checks and workers over HTTP.
+package apiserver
 
 import (
 	"context"
@@ -54,7 +54,7 @@
 // Start runs the actor. peer may be nil.
 func Start(ctx context.Context, cfg *config.Config, l *ledger.Ledger, r *reports.Reports, peer Peer) *Server {
 	f := &Server{
-		Actor: actor.Start(ctx, "frontdoor", 512), cfg: cfg, ledger: l, reports: r, peer: peer,
+		Actor: actor.Start(ctx, "apiserver", 512), cfg: cfg, ledger: l, reports: r, peer: peer,
 		stale: config.Secs(cfg.Params.Workers.ReportS),
 		pace:  newPace(cfg),
 		view:  ledger.NewView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
--- a/internal/frontdoor/frontdoor_test.go
+++ b/internal/apiserver/server_test.go
@@ -1,4 +1,4 @@
-package frontdoor
+package apiserver
 
 import (
 	"context"
@@ -12,8 +12,8 @@
 	"time"
 
 	"lynxledge/internal/config"
+	"lynxledge/internal/fakes"
 	"lynxledge/internal/ledger"
-	"lynxledge/internal/standin"
 	"lynxledge/wire"
 )
 
@@ -23,7 +23,7 @@
 
 type door struct {
 	t     *testing.T
-	state *standin.State
+	state *fakes.State
 	front *Server
 }
 
@@ -36,8 +36,8 @@
 		cfg.Params.Workers = config.Workers{ReportS: 3, LeaseS: 34, CancelS: 64}
 		cfg.Params.State = config.State{ValueKB: 8, TxnOps: 8, RPS: 150, WriteRPS: 50}
 		cfg.Params.Teams = []config.Team{{Name: "red", CPUsMax: 6}}
-		s := standin.NewState()
-		conn := &standin.Conn{State: s, Net: standin.NewNet(1, time.Millisecond), Node: "n0", Timeout: time.Second}
+		s := fakes.NewState()
+		conn := &fakes.Conn{State: s, Net: fakes.NewNet(1, time.Millisecond), Node: "n0", Timeout: time.Second}
 		l := ledger.Start(ctx, conn, ledger.Options{ChunkTasks: ledger.ChunkTasks(8), Hold: time.Second, MaxAge: time.Second, Backoff: 100 * time.Millisecond})
 		front := Start(ctx, cfg, l, nil, nil)
 		l.Run()
--- a/internal/standin/net.go
+++ b/internal/fakes/net.go
@@ -1,4 +1,4 @@
-package standin
+package fakes
 
 import (
 	"context"
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -15,8 +15,8 @@
 
 	"pgregory.net/rapid"
 
+	"lynxledge/internal/fakes"
 	_ "lynxledge/internal/seeded"
-	"lynxledge/internal/standin"
 	"lynxledge/wire"
 )
 
@@ -290,8 +290,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		store := standin.NewState()
-		conn := &standin.Conn{State: store, Net: standin.NewNet(1, time.Millisecond), Node: "n0", Timeout: time.Second}
+		store := fakes.NewState()
+		conn := &fakes.Conn{State: store, Net: fakes.NewNet(1, time.Millisecond), Node: "n0", Timeout: time.Second}
 		l := Start(ctx, conn, Options{ChunkTasks: 8, Hold: time.Second, MaxAge: time.Second, Backoff: 100 * time.Millisecond, MaxValue: 8 << 10})
 		l.Run()
 		time.Sleep(time.Second)
@@ -315,7 +315,7 @@
 
 // paged lists one key at a time, and lets something happen after the first page.
 type paged struct {
-	*standin.Conn
+	*fakes.Conn
 	between func()
 }
 
@@ -334,7 +334,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		conn := &standin.Conn{State: standin.NewState(), Net: standin.NewNet(1, time.Millisecond), Node: "n0", Timeout: time.Second}
+		conn := &fakes.Conn{State: fakes.NewState(), Net: fakes.NewNet(1, time.Millisecond), Node: "n0", Timeout: time.Second}
 		write := func(key string, machines ...string) wire.Write {
 			raw, err := json.Marshal(NewGroup("", "t", "z", false, 5, machines, 9))
 			if err != nil {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -19,8 +19,8 @@
 	"github.com/go-chi/chi/v5"
 
 	"lynxledge/internal/actor"
+	"lynxledge/internal/apiserver"
 	"lynxledge/internal/config"
-	"lynxledge/internal/frontdoor"
 	"lynxledge/internal/place"
 	"lynxledge/wire"
 )
@@ -273,7 +273,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	req.Header.Set(frontdoor.Forwarded, m.cfg.Name)
+	req.Header.Set(apiserver.Forwarded, m.cfg.Name)
 	resp, err := m.client.Do(req)
 	if err != nil {
 		return 0, nil, err
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -13,10 +13,10 @@
 	"testing/synctest"
 	"time"
 
+	"lynxledge/internal/apiserver"
 	"lynxledge/internal/config"
-	"lynxledge/internal/frontdoor"
+	"lynxledge/internal/fakes"
 	"lynxledge/internal/place"
-	"lynxledge/internal/standin"
 	"lynxledge/wire"
 )
 
@@ -27,13 +27,13 @@
 	notes []place.Observation
 }
 
-// pair connects two controllers over stand-in connections; each has a view that
+// pair connects two controllers over fake connections; each has a view that
 // is fresh as long as its own flag says so.
-func pair(t *testing.T, f func(net *standin.Net, a, b *node, fresh map[string]bool)) {
+func pair(t *testing.T, f func(net *fakes.Net, a, b *node, fresh map[string]bool)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		net := standin.NewNet(1, time.Millisecond)
-		pipes := standin.NewPipes(net)
+		net := fakes.NewNet(1, time.Millisecond)
+		pipes := fakes.NewPipes(net)
 		fresh := map[string]bool{"n0": true, "n1": true}
 		names := []string{"n0", "n1"}
 		var nodes []*node
@@ -53,7 +53,7 @@
 			go n.Serve(pipes.Listen(name, name+":1"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				b, _ := io.ReadAll(r.Body)
 				w.WriteHeader(http.StatusCreated)
-				_, _ = io.WriteString(w, name+" "+r.Method+" "+r.URL.Path+" "+r.Header.Get(frontdoor.Forwarded)+" "+string(b))
+				_, _ = io.WriteString(w, name+" "+r.Method+" "+r.URL.Path+" "+r.Header.Get(apiserver.Forwarded)+" "+string(b))
 			}))
 			nodes = append(nodes, n)
 		}
@@ -71,7 +71,7 @@
 // cut; then each knows that it is alone, and Tell says so, since the worker is to
 // carry the news itself. After the cut all is as before.
 func TestMeshThroughACut(t *testing.T) {
-	pair(t, func(net *standin.Net, a, b *node, _ map[string]bool) {
+	pair(t, func(net *fakes.Net, a, b *node, _ map[string]bool) {
 		note := place.Observation{Report: &wire.Report{Machine: "i-1", Addr: "x:1", Type: "t", Zone: "z", Session: 1}, RanS: map[string]float64{"req-000001/0": 2.5}}
 		a.Heard([]string{"i-1", "i-2"})
 		if !a.Tell("n1", note) || a.Tell("n9", note) {
@@ -100,7 +100,7 @@
 // Requests go only to a controller that has state, marked so that they are not
 // passed on again.
 func TestForwardNeedsState(t *testing.T) {
-	pair(t, func(_ *standin.Net, a, _ *node, fresh map[string]bool) {
+	pair(t, func(_ *fakes.Net, a, _ *node, fresh map[string]bool) {
 		status, body, err := a.Forward(context.Background(), http.MethodPost, "/work", []byte("job"))
 		if err != nil || status != http.StatusCreated || string(body) != "n1 POST /work n0 job" {
 			t.Errorf("%d %s %v", status, body, err)
@@ -118,7 +118,7 @@
 
 // A beat that no controller of the settings sent is not believed.
 func TestStrangersBeat(t *testing.T) {
-	pair(t, func(_ *standin.Net, a, _ *node, _ map[string]bool) {
+	pair(t, func(_ *fakes.Net, a, _ *node, _ map[string]bool) {
 		r := httptest.NewRequest(http.MethodPost, "/beats", nil)
 		r.Body = io.NopCloser(strings.NewReader(`{"member":"n7","heard":["i-9"]}{"member":"n1","note":{"report":{"nest":""}}}rubbish`))
 		a.beats(httptest.NewRecorder(), r)
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"lynxledge/internal/config"
+	"lynxledge/internal/fakes"
 	"lynxledge/internal/ledger"
-	"lynxledge/internal/standin"
 	"lynxledge/wire"
 )
 
@@ -23,7 +23,7 @@
 		cfg.Params.Workers = config.Workers{ReportS: 8, LeaseS: 44, CancelS: 74}
 		cfg.Params.State = config.State{ValueKB: 4, TxnOps: 8, RPS: 180, WriteRPS: 18}
 		cfg.Params.Teams = []config.Team{{Name: "red"}}
-		conn := &standin.Conn{State: standin.NewState(), Net: standin.NewNet(1, time.Millisecond), Node: "n0", Timeout: time.Second}
+		conn := &fakes.Conn{State: fakes.NewState(), Net: fakes.NewNet(1, time.Millisecond), Node: "n0", Timeout: time.Second}
 		l := ledger.Start(ctx, conn, ledger.Options{ChunkTasks: ledger.ChunkTasks(4), Hold: time.Second, MaxAge: time.Second, Backoff: 100 * time.Millisecond})
 		p := Start(ctx, cfg, 2, l, nil, func(*wire.Report) {})
 		p.SetTypes([]wire.MachineType{{Name: "s", CPUs: 4, MemoryGB: 16, Price: 1, Zones: []string{"a"}}})
--- a/internal/rent/rent_test.go
+++ b/internal/rent/rent_test.go
@@ -8,18 +8,18 @@
 	"time"
 
 	"lynxledge/internal/config"
+	"lynxledge/internal/fakes"
 	"lynxledge/internal/ledger"
-	"lynxledge/internal/standin"
 	"lynxledge/wire"
 )
 
 // lead runs a renter that leads, over a cloud that has limit machines of one
 // type, with a service that waits for one.
-func lead(t *testing.T, limit int, f func(l *ledger.Ledger, c *standin.Cloud, r *Renter), more ...wire.MachineType) {
-	leadOver(t, standin.NewNet(1, time.Millisecond), limit, f, more...)
+func lead(t *testing.T, limit int, f func(l *ledger.Ledger, c *fakes.Cloud, r *Renter), more ...wire.MachineType) {
+	leadOver(t, fakes.NewNet(1, time.Millisecond), limit, f, more...)
 }
 
-func leadOver(t *testing.T, net *standin.Net, limit int, f func(l *ledger.Ledger, c *standin.Cloud, r *Renter), more ...wire.MachineType) {
+func leadOver(t *testing.T, net *fakes.Net, limit int, f func(l *ledger.Ledger, c *fakes.Cloud, r *Renter), more ...wire.MachineType) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
@@ -31,17 +31,17 @@
 		cfg.Params.Teams = []config.Team{{Name: "red"}}
 		types := []wire.MachineType{{Name: "s", CPUs: 4, MemoryGB: 16, Price: 1, BootS: 25, Zones: []string{"a"}}}
 		types = append(types, more...)
-		conn := &standin.Conn{State: standin.NewState(), Net: net, Node: "n0", Timeout: time.Second}
+		conn := &fakes.Conn{State: fakes.NewState(), Net: net, Node: "n0", Timeout: time.Second}
 		chunk := ledger.ChunkTasks(8)
 		l := ledger.Start(ctx, conn, ledger.Options{ChunkTasks: chunk, Hold: time.Second, MaxAge: time.Second, Backoff: 100 * time.Millisecond})
-		cloud := standin.NewCloud(1, types, limit, 10*time.Second, func(h wire.Host) *standin.Worker {
-			return standin.NewWorker(ctx, h, standin.WorkerOptions{
-				Report: 3 * time.Second, Lease: 34 * time.Second, Nodes: []string{"n0"}, Net: net, Rules: standin.NewRules(cfg.Params),
-				Post: func(string) standin.Post { return nil },
+		cloud := fakes.NewCloud(1, types, limit, 10*time.Second, func(h wire.Host) *fakes.Worker {
+			return fakes.NewWorker(ctx, h, fakes.WorkerOptions{
+				Report: 3 * time.Second, Lease: 34 * time.Second, Nodes: []string{"n0"}, Net: net, Rules: fakes.NewRules(cfg.Params),
+				Post: func(string) fakes.Post { return nil },
 			}, 0)
 		})
-		r := Start(ctx, cfg, 7, l, &standin.CloudConn{Cloud: cloud, Net: net, Node: "n0", Timeout: 4 * time.Second, World: ctx},
-			&standin.WorkerConn{Cloud: cloud, Net: net, Node: "n0", Timeout: time.Second}, func(*wire.Report) {})
+		r := Start(ctx, cfg, 7, l, &fakes.CloudConn{Cloud: cloud, Net: net, Node: "n0", Timeout: 4 * time.Second, World: ctx},
+			&fakes.WorkerConn{Cloud: cloud, Net: net, Node: "n0", Timeout: time.Second}, func(*wire.Report) {})
 		r.SetTypes(types)
 		l.Run()
 		time.Sleep(time.Second)
@@ -61,7 +61,7 @@
 // The only machine of a pool that never comes up must not block the pool: it
 // did for three boot times, with every replica of the zone waiting.
 func TestStuckBootFreesItsPool(t *testing.T) {
-	lead(t, 1, func(_ *ledger.Ledger, c *standin.Cloud, _ *Renter) {
+	lead(t, 1, func(_ *ledger.Ledger, c *fakes.Cloud, _ *Renter) {
 		c.Stick(1)
 		time.Sleep(75 * time.Second) // 1.6 boots, a pass, and another boot
 		if len(c.Up()) != 1 {
@@ -72,7 +72,7 @@
 
 // One waiting replica rents one machine, however many passes its boot takes.
 func TestRentsOnce(t *testing.T) {
-	lead(t, 5, func(_ *ledger.Ledger, c *standin.Cloud, _ *Renter) {
+	lead(t, 5, func(_ *ledger.Ledger, c *fakes.Cloud, _ *Renter) {
 		time.Sleep(24 * time.Second)
 		if n := len(c.Up()); n != 1 {
 			t.Errorf("%d machines up for one replica", n)
@@ -84,7 +84,7 @@
 // of them had, though the cloud had no other: it is kept for two leases, since
 // it may only be cut off. One that holds batch work alone is returned soon.
 func TestIrreplaceableMachineIsKept(t *testing.T) {
-	lead(t, 0, func(l *ledger.Ledger, _ *standin.Cloud, r *Renter) {
+	lead(t, 0, func(l *ledger.Ledger, _ *fakes.Cloud, r *Renter) {
 		group := func(m string, tasks ...ledger.BoundTask) ledger.Put {
 			return ledger.Put{Key: ledger.Key(ledger.KindBind, "g."+m), Rec: &ledger.Group{
 				Type: "s", Zone: "a", At: time.Now().UnixMilli(),
@@ -134,7 +134,7 @@
 // rented, and waiting work got none until the next pass or the one after.
 func TestShortPoolIsPlannedWithoutAtOnce(t *testing.T) {
 	dear := wire.MachineType{Name: "l", CPUs: 16, MemoryGB: 64, Price: 5, BootS: 25, Zones: []string{"a"}}
-	lead(t, 2, func(l *ledger.Ledger, c *standin.Cloud, r *Renter) {
+	lead(t, 2, func(l *ledger.Ledger, c *fakes.Cloud, r *Renter) {
 		job := func(id string, tasks int, types ...string) ledger.Put {
 			return ledger.Put{Key: ledger.Key(ledger.KindJob, id), Rec: &ledger.Job{Tasks: tasks, At: time.Now().UnixMilli(), Spec: &wire.Job{
 				ID: id, Team: "red", Shape: wire.ShapeService, Rank: wire.RankProd, Tasks: tasks, CPUs: 4, MemoryGB: 1, Types: types,
@@ -160,7 +160,7 @@
 // other groups were in the same transaction: a machine that was to be returned
 // stayed. It waits until the record is smaller.
 func TestEditOfFullRecordWaits(t *testing.T) {
-	lead(t, 0, func(l *ledger.Ledger, _ *standin.Cloud, r *Renter) {
+	lead(t, 0, func(l *ledger.Ledger, _ *fakes.Cloud, r *Renter) {
 		bind := func(m string, tasks int) *ledger.Machine {
 			b := &ledger.Machine{Name: m, Addr: "x:1", Session: 1, Token: 1 << 33}
 			for n := range tasks {
@@ -199,8 +199,8 @@
 // its machine back as one with nothing bound to it, or its task would be placed
 // once more.
 func TestLateRentalDoesNotUndoAMerge(t *testing.T) {
-	net := standin.NewNet(1, time.Millisecond)
-	leadOver(t, net, 1, func(l *ledger.Ledger, _ *standin.Cloud, r *Renter) {
+	net := fakes.NewNet(1, time.Millisecond)
+	leadOver(t, net, 1, func(l *ledger.Ledger, _ *fakes.Cloud, r *Renter) {
 		time.Sleep(time.Second)
 		net.SetFates(0, 1)
 		time.Sleep(8 * time.Second)
@@ -239,7 +239,7 @@
 // too large, though it is far from full: in a later term each row that is rewritten
 // grows. It has to be written all the same, or silent machines are never returned.
 func TestEditsThatFillARecordAreWritten(t *testing.T) {
-	lead(t, 0, func(l *ledger.Ledger, _ *standin.Cloud, r *Renter) {
+	lead(t, 0, func(l *ledger.Ledger, _ *fakes.Cloud, r *Renter) {
 		time.Sleep(time.Second) // the first term is written, and this one comes after it
 		limit := r.cfg.Params.State.ValueBytes()
 		g := &ledger.Group{Name: "g", Type: "s", Zone: "a"}
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"lynxledge/internal/config"
+	"lynxledge/internal/fakes"
 	"lynxledge/internal/ledger"
 	"lynxledge/internal/place"
-	"lynxledge/internal/standin"
 	"lynxledge/wire"
 )
 
@@ -26,7 +26,7 @@
 	cfg := &config.Config{Ops: config.DefaultOps()}
 	cfg.Params.Workers = config.Workers{ReportS: 3, LeaseS: 34, CancelS: 64}
 	cfg.Params.State = config.State{ValueKB: 8, TxnOps: 8, RPS: 150, WriteRPS: 50}
-	conn := &standin.Conn{State: standin.NewState(), Net: standin.NewNet(1, time.Millisecond), Node: "n0", Timeout: time.Second}
+	conn := &fakes.Conn{State: fakes.NewState(), Net: fakes.NewNet(1, time.Millisecond), Node: "n0", Timeout: time.Second}
 	chunk := ledger.ChunkTasks(8)
 	l := ledger.Start(ctx, conn, ledger.Options{ChunkTasks: chunk, Hold: time.Second, MaxAge: time.Second, Backoff: 100 * time.Millisecond})
 	b := &bench{ledger: l}
