--- a/internal/apiserver/server_test.go
+++ b/internal/apiserver/server_test.go
@@ -27,7 +27,7 @@
 	front *Server
 }
 
-// open runs f with a front door over a state service of its own.
+// open runs f with an API server over a state service of its own.
 func open(t *testing.T, f func(d *door)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/ledger/pipeline.go
+++ b/internal/ledger/pipeline.go
@@ -55,7 +55,7 @@
 	return &n
 }
 
-// lift gives a job the rank and the deadline of one that needs it, if they are
+// lift gives a job the priority and the deadline of one that needs it, if they are
 // more urgent than its own; false if they are not.
 func (p *pipelines) lift(j, after *Job) bool {
 	if after == nil || !after.Active() || after.Spec == nil {
--- a/internal/ledger/pipeline_test.go
+++ b/internal/ledger/pipeline_test.go
@@ -145,7 +145,7 @@
 					step(id, func(j *Job) { j.State, j.EndAt = wire.JobCancelled, int64(100+rev) })
 				}
 			}
-			s.check(t, l, !cancels) // a rank may outlive the job that lent it
+			s.check(t, l, !cancels) // a priority may outlive the job that lent it
 		}
 		fresh := Start(ctx, nil, Options{ChunkTasks: 8})
 		for _, i := range rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "order"), 1)).Perm(len(s.ids)) {
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -67,7 +67,7 @@
 	Blocked           bool    `json:"-"` // not all predecessors are done
 	ReadyAt           int64   `json:"-"` // time of day at which the last of them was done, ms
 	Derived           bool    `json:"-"` // cancelled because a predecessor is
-	PriorityInherited bool    `json:"-"` // its rank is that of a job that needs it
+	PriorityInherited bool    `json:"-"` // its priority is that of a job that needs it
 	DueAt             int64   `json:"-"` // time of day by which a job that needs this one is due, ms; 0: none
 	TailS             float64 `json:"-"` // expected running time from the end of this one to the end of that one
 }
--- a/internal/ledger/split.go
+++ b/internal/ledger/split.go
@@ -136,7 +136,7 @@
 	return &Draft{Group: group, term: p.group.term, fresh: map[string]*Machine{}}
 }
 
-// AssignmentStamps are the stamps of all hand records, by team.
+// AssignmentStamps are the stamps of all assignments, by team.
 func (v *View) AssignmentStamps() map[string]uint64 {
 	stamps := make(map[string]uint64, len(v.Assignments))
 	for team, hand := range v.Assignments {
@@ -145,7 +145,7 @@
 	return stamps
 }
 
-// GuardAssignments guards a commit on hand records, given by team.
+// GuardAssignments guards a commit on assignments, given by team.
 func (c *Commit) GuardAssignments(stamps map[string]uint64) {
 	for team, stamp := range stamps {
 		c.Guards = append(c.Guards, wire.Guard{Key: Key(KindAssignment, team), Version: stamp})
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -247,8 +247,8 @@
 }
 
 // Preempt finds the cheapest set of tasks to stop for a task of job j. Work
-// of lower rank may go; with the team inside its guarantee so may work of any
-// rank that another team runs beyond its own. Nothing else may.
+// of lower priority may go; with the team inside its guarantee so may work of any
+// priority that another team runs beyond its own. Nothing else may.
 func Preempt(j *wire.Job, zones Zones, offers Offers, nodes []*Node, tally Usage, team func(string) config.Team) *Victims {
 	var best *Victims
 	bestScore := 0.0
--- a/internal/place/order.go
+++ b/internal/place/order.go
@@ -17,7 +17,7 @@
 // latest is when the last of the job's tasks must have begun to keep a deadline.
 func (c *claimant) latest(s int) float64 { return c.due[s] - c.run }
 
-// stages tells for jobs of one rank which of its deadlines each is to keep, by
+// stages tells for jobs of one priority which of its deadlines each is to keep, by
 // Moore and Hodgson: taken in order of their latest starts, whenever one would be
 // late, the largest so far gives way. No other order has fewer late. What gives
 // way is tried again with its next deadline, behind those that don't. A job
@@ -71,7 +71,7 @@
 	return stage, from
 }
 
-// order sorts the queue: by rank, then by stage, then earliest deadline first;
+// order sorts the queue: by priority, then by stage, then earliest deadline first;
 // jobs that can't keep any deadline by what is left of them, the least first.
 func order(q []waiting) {
 	slices.SortFunc(q, func(a, b waiting) int {
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -9,7 +9,7 @@
 	"lynxledge/wire"
 )
 
-// mine lists the teams that this process may place: their hand records name
+// mine lists the teams that this process may place: their assignments name
 // it, and the view has every bind made under earlier ones.
 func (p *Placer) mine() map[string]*ledger.Assignment {
 	out := map[string]*ledger.Assignment{}
@@ -24,17 +24,17 @@
 type waiting struct {
 	id       string
 	job      *ledger.Job
-	hand     uint64 // stamp of the team's hand record
+	hand     uint64 // stamp of the team's assignment
 	late     int    // how many of its deadlines it is not to keep
 	deadline float64
 	claim    claimant
 	most     int // tasks to place at most
 }
 
-// queue orders the jobs that have tasks to place: by rank, then earliest
+// queue orders the jobs that have tasks to place: by priority, then earliest
 // deadline first. Under overload plain EDF makes every job late; so the largest
 // of those that can't all be in time give way. None gives way for ever: one that
-// has waited for three leases without a single start goes first in its rank with
+// has waited for three leases without a single start goes first in its priority with
 // one task, or the largest would starve behind all that are smaller. More than
 // that would make the whole queue late again.
 func (p *Placer) queue(mine map[string]*ledger.Assignment, now time.Time) []waiting {
@@ -94,8 +94,8 @@
 	return q
 }
 
-// judgeRank tells of the waiting jobs of one rank which deadline each is to
-// keep, given when the ranks above leave the cluster to it, and returns when
+// judgeRank tells of the waiting jobs of one priority which deadline each is to
+// keep, given when the priorities above leave the cluster to it, and returns when
 // this one does.
 func (p *Placer) judgeRank(q []waiting, from float64, now time.Time) float64 {
 	var claims []claimant
--- a/internal/place/repack.go
+++ b/internal/place/repack.go
@@ -10,7 +10,7 @@
 )
 
 // placesAll tells whether all teams are handed to this process. Only then it moves
-// machines from one record to another: a later hand record makes the guards fail, so
+// machines from one record to another: a later assignment makes the guards fail, so
 // that no other may miss what is bound to a machine on its way.
 func (p *Placer) placesAll() bool {
 	hands := len(p.view.Assignments)
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -58,12 +58,12 @@
 	p.commit(r)
 }
 
-// maxTries is how many of the waiting jobs of a rank look for places of other
+// maxTries is how many of the waiting jobs of a priority look for places of other
 // work in a round, drawn anew each time: looking costs far more than to find that
 // none is free.
 const maxTries = 64
 
-// triesOf is the part of the waiting jobs of each rank that may look.
+// triesOf is the part of the waiting jobs of each priority that may look.
 func triesOf(q []waiting) map[wire.Priority]float64 {
 	out := map[wire.Priority]float64{}
 	for i := range q {
@@ -132,7 +132,7 @@
 		return nodes
 	}
 	// Room comes free all the time: work that may wait a little takes no other's
-	// place before that. Prod does. A stage whose rank is lent by the pipeline's last
+	// place before that. Prod does. A stage whose priority is inherited from the pipeline's last
 	// job takes a place only when its part of that deadline presses.
 	within, _ := p.cfg.StartWithin(spec.Class)
 	age := r.now.Sub(time.UnixMilli(w.job.RunnableSince())).Seconds()
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -417,15 +417,15 @@
 	})
 }
 
-// A stage with a rank that the pipeline's last job lends it takes no other work's
-// place while it can still be in time; one whose rank is its own does.
-func TestLentRankTakesNoPlaceBeforeItPresses(t *testing.T) {
+// A stage with a priority that the pipeline's last job lends it takes no other work's
+// place while it can still be in time; one whose priority is its own does.
+func TestInheritedPriorityTakesNoPlaceBeforeItPresses(t *testing.T) {
 	placing(t, map[string]int{"a": 4}, func(_ *ledger.Ledger, p *Placer) {
-		taken := func(lent bool, due time.Duration) (n int) {
+		taken := func(inherited bool, due time.Duration) (n int) {
 			in(p, func() {
 				now := time.Now()
 				spec := &wire.Job{ID: "req-000002", Team: "red", Shape: wire.ShapeArray, Rank: wire.RankHigh, Tasks: 1, CPUs: 1, MemoryGB: 1, EstimateS: 10}
-				j := &ledger.Job{Spec: spec, Tasks: 1, At: now.Add(-20 * time.Second).UnixMilli(), PriorityInherited: lent, DueAt: now.Add(due).UnixMilli()}
+				j := &ledger.Job{Spec: spec, Tasks: 1, At: now.Add(-20 * time.Second).UnixMilli(), PriorityInherited: inherited, DueAt: now.Add(due).UnixMilli()}
 				p.active["req-000002"], p.view.Jobs["req-000002"] = j, j
 				p.view.Jobs["req-000001"].Spec.EstimateS = 0.1 // leaves the cluster to it soon
 				p.cfg.Params.Objectives = []config.Objective{{Kind: "guarantee", WithinS: 5}}
@@ -451,10 +451,10 @@
 			t.Errorf("own rank: %d places", n)
 		}
 		if n := taken(true, 100*time.Second); n != 0 {
-			t.Errorf("lent rank, in time: %d places", n)
+			t.Errorf("inherited priority, in time: %d places", n)
 		}
 		if n := taken(true, 12*time.Second); n != 1 {
-			t.Errorf("lent rank, pressing: %d places", n)
+			t.Errorf("inherited priority, pressing: %d places", n)
 		}
 	})
 }
--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -45,7 +45,7 @@
 // what a record says when they end; marks are folded beyond the second.
 const (
 	recordFill = 0.8
-	urgentFill = 0.9 // for tasks of rank high and above: the others must not leave them without a record
+	urgentFill = 0.9 // for tasks of priority high and above: the others must not leave them without a record
 	foldFill   = 0.7
 	mergeFill  = 0.6 // groups are merged up to here
 	splitFrom  = 0.9 // a record beyond is split
@@ -176,8 +176,17 @@
 	}
 	p.pace.ReserveN(r.now, c.Ops())
 	p.busy = true
-	slog.Debug("round", "writes", c.Ops(), "limit", r.limit, "groups", len(r.drafts), "of", len(p.view.Groups), "folds", len(r.doneSets), "ends", len(r.ends), "falls", len(r.cancellations),
-		"placed", sum(r.placed), "gone", r.gone, "notes_left", len(p.observations))
+	slog.Debug("round",
+		"writes", c.Ops(),
+		"limit", r.limit,
+		"groups", len(r.drafts),
+		"of", len(p.view.Groups),
+		"done_sets", len(r.doneSets),
+		"jobs_done", len(r.ends),
+		"cancellations", len(r.cancellations),
+		"placed", sum(r.placed),
+		"departed", r.gone,
+		"groups_waiting", len(p.observations))
 	p.ledger.Commit(c, func(out ledger.Outcome) {
 		p.Send(func() {
 			p.busy = false
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -23,7 +23,7 @@
 	Count     int
 	DeadlineS float64 // from now; may be past
 	RunS      float64 // expected running time of a task
-	Late      bool    // no deadline can be kept any more: it comes after the others of its rank
+	Late      bool    // no deadline can be kept any more: it comes after the others of its priority
 	Overdue   bool    // any machine will do, whatever it costs
 	Roomy     bool    // only in the zones that offer the most types
 	Zones     place.Zones
@@ -245,7 +245,7 @@
 }
 
 // headroom asks for room that urgent arrivals find free: a share of what work
-// of rank high and prod holds and waits for, in zones that are not scarce.
+// of priority high and prod holds and waits for, in zones that are not scarce.
 func (p *pass) headroom() []Demand {
 	if p.Headroom <= 0 {
 		return nil
--- a/internal/rent/edits.go
+++ b/internal/rent/edits.go
@@ -172,7 +172,7 @@
 
 // assemble puts the records into the transaction. One of them that has become larger
 // than valueBytes is split, if the transaction has writes left for its parts; hands are
-// the hand records that a split is guarded on. The edits of a record that can't be
+// the assignments that a split is guarded on. The edits of a record that can't be
 // written leave the batch, and wait: taken for written, a closed machine was never
 // returned. assemble tells whether there are any.
 func (b *editBatch) assemble(valueBytes int, hands map[string]uint64) (waiting bool) {
@@ -208,7 +208,7 @@
 		return false // a larger transaction may have room
 	}
 	// A transaction has room for a few guards a write: the leader's, those of the
-	// records, and as many hand records as writes.
+	// records, and as many assignments as writes.
 	if err != nil || !d.Fit(valueBytes) || hands > b.maxWrites {
 		slog.Error("record too large; nothing is written", "group", d.Name, "bytes", d.Size(), "err", err)
 		return false
--- a/internal/rent/edits_test.go
+++ b/internal/rent/edits_test.go
@@ -40,8 +40,8 @@
 // However the groups are filled and whatever is wanted of their machines, each edit
 // that leaves the batch is in exactly one record of the transaction, no machine but
 // those that are gone is missing from it, and no record is beyond the limit. A record
-// that was split is guarded on itself, on every hand record and on the absence of its
-// parts: without the hand records, a controller that the teams go to could miss tasks
+// that was split is guarded on itself, on every assignment and on the absence of its
+// parts: without the assignments, a controller that the teams go to could miss tasks
 // on their way from one record to the other.
 func TestEditBatchWritesEachEditOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/rent/failures.go
+++ b/internal/rent/failures.go
@@ -117,7 +117,7 @@
 		}
 		n := &place.Node{Name: m, Type: types[b.Type], Zone: b.Zone, Spot: b.Spot, Image: func(string) bool { return true }}
 		for i := range b.Tasks {
-			// Work of lower rank makes room.
+			// Work of lower priority makes room.
 			if j := r.view.Jobs[b.Tasks[i].Job]; j != nil && j.Spec != nil && j.Spec.Rank == wire.RankProd {
 				n.Used = n.Used.Plus(place.RequestOf(j.Spec), 1)
 			}
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -53,7 +53,7 @@
 	runs          *place.Estimates
 	since         map[string]time.Time
 	heard         map[string]time.Time
-	marked        map[string]time.Time       // when a machine was marked quiet
+	marked        map[string]time.Time       // when a machine was marked as suspected
 	errors        map[string]map[string]bool // machine: jobs that failed on it since a success
 	refused       map[plan.Pool]time.Time
 	edits         map[string]edit // machine: what is to be written of it
