--- a/internal/ledger/pipeline_test.go
+++ b/internal/ledger/pipeline_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -54,6 +55,32 @@
 	return r
 }
 
+// latestEnd is the time by which a job must be done so that each job that needs it, and
+// is not over, can be done by its own deadline; 0 if none of them has one.
+func (s *story) latestEnd(id string) int64 {
+	least := int64(0)
+	for _, after := range s.ids {
+		j := s.jobs[after]
+		if !slices.Contains(j.Spec.Awaits, id) || j.State != "" || s.doomed(after) {
+			continue
+		}
+		end := s.latestEnd(after)
+		if j.Spec.DeadlineS != nil {
+			if own := j.At + int64(1000**j.Spec.DeadlineS); end == 0 || own < end {
+				end = own
+			}
+		}
+		if end == 0 {
+			continue
+		}
+		end -= int64(1000 * j.Spec.EstimateS)
+		if least == 0 || end < least {
+			least = end
+		}
+	}
+	return least
+}
+
 func (s *story) check(t *rapid.T, l *Ledger, ranks bool) {
 	for _, id := range s.ids {
 		stored, got := s.jobs[id], l.view.Jobs[id]
@@ -73,6 +100,9 @@
 			if ranks && got.Spec.Rank != s.rank(id) {
 				t.Fatalf("%s: rank %v, not %v", id, got.Spec.Rank, s.rank(id))
 			}
+			if ranks && s.latestEnd(id) != 0 && latest(got.DueAt, got.TailS) != s.latestEnd(id) {
+				t.Fatalf("%s: due by %d, not %d", id, latest(got.DueAt, got.TailS), s.latestEnd(id))
+			}
 			if s.ready(id) {
 				last := int64(0)
 				for _, before := range stored.Spec.Awaits {
@@ -128,8 +158,12 @@
 						spec.Awaits = append(spec.Awaits, before)
 					}
 				}
+				if rapid.Bool().Draw(t, "has a deadline") {
+					due := float64(rapid.IntRange(1, 99).Draw(t, "due"))
+					spec.DeadlineS = &due
+				}
 				s.ids = append(s.ids, id)
-				s.jobs[id] = &Job{Spec: spec, Tasks: 1, At: int64(rev)}
+				s.jobs[id] = &Job{Spec: spec, Tasks: 1, At: int64(100_000 + rev)}
 				step(id, func(*Job) {})
 			} else {
 				id := rapid.SampledFrom(s.ids).Draw(t, "job")
