--- a/internal/apiserver/server_test.go
+++ b/internal/apiserver/server_test.go
@@ -162,3 +162,27 @@
 		d.ask("POST", "/work", after("000418", `["req-000999"]`), 503, "")
 	})
 }
+
+// A job that another controller accepted a moment ago is not known here yet. Whoever
+// names it is not told that it was never accepted: that is decided on a read of the state.
+func TestPredecessorAcceptedElsewhereAMomentAgo(t *testing.T) {
+	open(t, func(d *door) {
+		d.types()
+		time.Sleep(time.Second)
+		other := &fakes.Conn{State: d.state, Net: fakes.NewNet(1, 0), Node: "n1", Timeout: time.Second}
+		record, err := json.Marshal(&ledger.Job{Spec: &wire.Job{ID: "req-000700", Shape: wire.ShapeArray}, Tasks: 1, At: 5})
+		if err != nil {
+			d.t.Error(err)
+		}
+		key := ledger.Key(ledger.KindJob, "req-000700")
+		txn := &wire.Txn{Guards: []wire.Guard{{Key: key}}, Writes: []wire.Write{{Put: key, Value: record}}}
+		if _, err := other.Commit(context.Background(), txn); err != nil {
+			d.t.Error(err)
+		}
+		if l, ok := d.front.look("req-000700"); !ok || l.known {
+			d.t.Error("known here already: nothing is tested")
+		}
+		body := strings.Replace(with("000412", "000701"), `"legs":2`, `"awaits":["req-000700"],"legs":2`, 1)
+		d.ask("POST", "/work", body, http.StatusCreated, wire.JobQueued)
+	})
+}
