--- /dev/null
+++ b/internal/frontdoor/bench_test.go
@@ -0,0 +1,148 @@
+package frontdoor
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"lynxledge/internal/config"
+	"lynxledge/internal/ledger"
+	"lynxledge/internal/place"
+	"lynxledge/internal/reports"
+	"lynxledge/internal/standin"
+	"lynxledge/wire"
+)
+
+// reportingMachine is a controller's server on loopback, and what a machine with four
+// tasks that run reports to it again and again.
+type reportingMachine struct {
+	server *httptest.Server
+	front  *Front
+	report wire.Report
+}
+
+func newReportingMachine(tb testing.TB, ctx context.Context) *reportingMachine {
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	cfg := &config.Config{Ops: config.DefaultOps()}
+	cfg.Params.Workers = config.Workers{ReportS: 8, LeaseS: 44, CancelS: 74}
+	cfg.Params.State = config.State{ValueKB: 4, TxnOps: 8, RPS: 1e6, WriteRPS: 1e6}
+	cfg.Params.Teams = []config.Team{{Name: "red"}}
+	conn := &standin.Conn{State: standin.NewState(), Net: standin.NewNet(1, 0), Node: "n0", Timeout: time.Second}
+	l := ledger.Start(ctx, conn, ledger.Options{ChunkTasks: ledger.ChunkTasks(4), Hold: time.Second, MaxAge: time.Second, Backoff: 100 * time.Millisecond})
+	reporter := reports.Start(ctx, cfg, 1, l, reports.Links{
+		Elsewhere: func() string { return "" },
+		Alone:     func() bool { return false },
+		Note:      func(place.Note, time.Duration) {},
+		Tell:      func(string, place.Note) bool { return false },
+	})
+	front := Start(ctx, cfg, l, reporter, nil)
+	front.SetTypes([]wire.MachineType{{Name: "s", CPUs: 16, MemoryGB: 128, Zones: []string{"a"}}})
+	l.Run()
+	machine := &ledger.Bind{Name: "i-000231", Addr: "10.1.0.232:9000", Session: 1, Token: 41}
+	report := wire.Report{Machine: machine.Name, Addr: machine.Addr, Type: "s", Zone: "a", Session: 1, Token: 41}
+	for n := range 4 {
+		task := ledger.Bound{Job: "req-000001", N: n, Attempt: 40}
+		machine.Tasks = append(machine.Tasks, task)
+		report.Tasks = append(report.Tasks, wire.TaskReport{Task: task.Name(), Attempt: 40, State: wire.TaskRunning})
+	}
+	spec := &wire.Job{ID: "req-000001", Team: "red", Shape: wire.ShapeArray, Tasks: 80, CPUs: 4, MemoryGB: 29}
+	loaded := make(chan ledger.Outcome, 1)
+	for range 200 { // until the state is loaded
+		if time.Since(l.Fresh()) < time.Second {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	l.Commit(ledger.Commit{Puts: []ledger.Put{
+		{Key: ledger.Key(ledger.KindJob, "req-000001"), Rec: &ledger.Job{Tasks: 80, At: time.Now().UnixMilli(), Spec: spec}},
+		{Key: ledger.Key(ledger.KindBind, "g"), Rec: &ledger.Group{Type: "s", Zone: "a", Binds: []*ledger.Bind{machine}}},
+	}}, func(out ledger.Outcome) { loaded <- out })
+	if out := <-loaded; out != ledger.Committed {
+		tb.Fatal("not committed: ", out)
+	}
+	server := httptest.NewServer(front.Handler())
+	tb.Cleanup(server.Close)
+	return &reportingMachine{server: server, front: front, report: report}
+}
+
+// body is the next report.
+func (m *reportingMachine) body() []byte {
+	m.report.Seq++
+	raw, err := json.Marshal(&m.report)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+// BenchmarkReport is a report that says nothing new, without its connection.
+func BenchmarkReport(b *testing.B) {
+	m := newReportingMachine(b, b.Context())
+	handler := m.front.Handler()
+	b.ReportAllocs()
+	for b.Loop() {
+		b.StopTimer()
+		request := httptest.NewRequest(http.MethodPost, "/hello", bytes.NewReader(m.body()))
+		recorder := httptest.NewRecorder()
+		b.StartTimer()
+		handler.ServeHTTP(recorder, request)
+		if recorder.Code != http.StatusOK {
+			b.Fatal(recorder.Code, recorder.Body)
+		}
+	}
+}
+
+// BenchmarkReportOverTCP is the same with its connection, the client's part included.
+func BenchmarkReportOverTCP(b *testing.B) {
+	m := newReportingMachine(b, b.Context())
+	b.ReportAllocs()
+	for b.Loop() {
+		response, err := http.Post(m.server.URL+"/hello", "application/json", bytes.NewReader(m.body()))
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			b.Fatal(response.StatusCode)
+		}
+	}
+}
+
+// BenchmarkPoll is a user's question for a job that runs, with its read of the state.
+func BenchmarkPoll(b *testing.B) {
+	m := newReportingMachine(b, b.Context())
+	handler := m.front.Handler()
+	b.ReportAllocs()
+	for b.Loop() {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/work/req-000001", nil))
+		if recorder.Code != http.StatusOK {
+			b.Fatal(recorder.Code, recorder.Body)
+		}
+	}
+}
+
+// BenchmarkSubmission is an accepted job.
+func BenchmarkSubmission(b *testing.B) {
+	m := newReportingMachine(b, b.Context())
+	handler := m.front.Handler()
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		n++
+		body := with("req-000412", fmt.Sprintf("req-%06d", 1000+n))
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/work", bytes.NewReader([]byte(body))))
+		if recorder.Code != http.StatusCreated {
+			b.Fatal(recorder.Code, recorder.Body)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ledger/bench_test.go
@@ -0,0 +1,125 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"lynxledge/wire"
+)
+
+// Sizes of the larger grown deployment: groups of machines, and a long day's jobs.
+const (
+	benchGroups   = 50
+	benchMachines = 36 // in a group
+	benchTasks    = 3  // on a machine
+	benchJobs     = 5000
+
+	maxWatchAllocations = 110 // a fifth above what was measured
+)
+
+// benchGroup is a group whose machines are in use.
+func benchGroup(name string, first int) *Group {
+	g := &Group{Name: name, Type: "entoto-small", Zone: "bole", Spot: true, At: 1790000010788}
+	for i := range benchMachines {
+		b := &Bind{Name: fmt.Sprintf("i-%06d", first+i), Addr: fmt.Sprintf("10.100.1.%d:9000", i), Session: 1, Token: Token(2) + 11}
+		for n := range benchTasks {
+			b.Tasks = append(b.Tasks, Bound{Job: fmt.Sprintf("req-%06d", (first+i)%40), N: n, Attempt: Token(2) + 10})
+		}
+		g.Binds = append(g.Binds, b)
+	}
+	g.Marks = map[string][]int{"req-000001": {3, 4, 5, 9}, "req-000002": {70, 71, 90}}
+	return g
+}
+
+func mustMarshal(v any) json.RawMessage {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+// benchLedger is a ledger that holds all groups, and one group's record before and
+// after a task of one machine was replaced.
+func benchLedger(ctx context.Context) (l *Ledger, records [2]json.RawMessage) {
+	l = Start(ctx, nil, Options{ChunkTasks: ChunkTasks(4)})
+	l.Subscribe(func(Delta) {})
+	events := &wire.Events{Revision: 1}
+	for i := range benchGroups {
+		name := fmt.Sprintf("g%03d", i)
+		events.Events = append(events.Events, wire.Event{Put: Key(KindBind, name), Value: mustMarshal(benchGroup(name, i*benchMachines)), Version: 1})
+	}
+	l.events(events, time.Now())
+	g := benchGroup("g007", 7*benchMachines)
+	records[0] = mustMarshal(g)
+	row := g.Binds[5]
+	row.Token++
+	row.Tasks[0] = Bound{Job: "req-000039", N: 77, Attempt: row.Token}
+	records[1] = mustMarshal(g)
+	return l, records
+}
+
+// BenchmarkWatchAnswer is one changed machine in the answer of a watch.
+func BenchmarkWatchAnswer(b *testing.B) {
+	l, records := benchLedger(b.Context())
+	b.ReportAllocs()
+	revision := uint64(1)
+	for b.Loop() {
+		revision++
+		event := wire.Event{Put: Key(KindBind, "g007"), Value: records[revision%2], Version: revision}
+		l.events(&wire.Events{Revision: revision, Events: []wire.Event{event}}, time.Now())
+	}
+}
+
+// BenchmarkLoad decodes everything that a controller reads at its start.
+func BenchmarkLoad(b *testing.B) {
+	items := map[string]json.RawMessage{}
+	for i := range benchGroups {
+		name := fmt.Sprintf("g%03d", i)
+		items[Key(KindBind, name)] = mustMarshal(benchGroup(name, i*benchMachines))
+	}
+	for i := range benchJobs {
+		items[Key(KindJob, fmt.Sprintf("req-%06d", i))] = mustMarshal(&Job{State: wire.JobDone, Tasks: 40, At: 1790000010788, EndAt: 1790000020788})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		l := Start(b.Context(), nil, Options{ChunkTasks: ChunkTasks(4)})
+		var changes []Change
+		for key, raw := range items {
+			if c, ok := l.change(key, raw, 7); ok {
+				changes = append(changes, c)
+			}
+		}
+		l.publish(changes)
+	}
+}
+
+// BenchmarkGroupRecord encodes the record of a group in which one row changed.
+func BenchmarkGroupRecord(b *testing.B) {
+	l, _ := benchLedger(b.Context())
+	b.ReportAllocs()
+	for b.Loop() {
+		d := l.view.Draft("g007")
+		row := d.Edit(d.Binds[5].Name)
+		row.Tasks[0].Attempt = row.Token
+		mustMarshal(&d.Group)
+	}
+}
+
+// What a watch's answer costs follows what changed in it: the rows that stand as they
+// were are taken over.
+func TestAllocationsOfAWatchAnswer(t *testing.T) {
+	l, records := benchLedger(t.Context())
+	revision := uint64(1)
+	allocations := testing.AllocsPerRun(100, func() {
+		revision++
+		event := wire.Event{Put: Key(KindBind, "g007"), Value: records[revision%2], Version: revision}
+		l.events(&wire.Events{Revision: revision, Events: []wire.Event{event}}, time.Now())
+	})
+	if allocations > maxWatchAllocations {
+		t.Errorf("%v allocations for one changed row", allocations)
+	}
+}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -3,7 +3,6 @@
 package plan
 
 import (
-	heapify "container/heap"
 	"math"
 	"slices"
 	"strings"
@@ -78,6 +77,7 @@
 // slot is a machine there is, and when the tasks on it, or meant for it, end.
 type slot struct {
 	m     *Machine
+	pool  int // index among the pools that there are machines of
 	typ   *wire.MachineType
 	ready float64 // seconds from now until it takes tasks
 	ends  []end   // in order of time
@@ -132,7 +132,7 @@
 // Make runs one pass.
 func Make(in Input) Plan {
 	p := &pass{Input: in, types: map[string]*wire.MachineType{}, offer: map[string]int{}, load: map[Pool]float64{},
-		tasks: map[Pool]int{}, share: map[Pool]float64{}}
+		tasks: map[Pool]int{}, share: map[Pool]float64{}, heldIndex: map[Pool]int{}}
 	for i := range in.Types {
 		p.types[in.Types[i].Name] = &in.Types[i]
 	}
@@ -188,6 +188,10 @@
 	load  map[Pool]float64
 	tasks map[Pool]int     // that put load on it
 	share map[Pool]float64 // sum of their shares
+
+	held       []Pool // pools that there are machines of
+	heldIndex  map[Pool]int
+	candidates candidates // for the job in hand
 }
 
 // slots finds the machines there are, and when their tasks end.
@@ -198,7 +202,7 @@
 		if t == nil || !m.Open {
 			continue
 		}
-		s := &slot{m: m, typ: t, ready: m.ReadyS, taken: len(m.Tasks) > 0}
+		s := &slot{m: m, pool: p.poolIndex(m.Pool), typ: t, ready: m.ReadyS, taken: len(m.Tasks) > 0}
 		for _, h := range m.Tasks {
 			s.add(h.LeftS, place.Of(h.Job).Share(place.Capacity(t)))
 		}
@@ -219,6 +223,17 @@
 	})
 }
 
+// poolIndex is the place of a pool among those that there are machines of.
+func (p *pass) poolIndex(pool Pool) int {
+	i, known := p.heldIndex[pool]
+	if !known {
+		i = len(p.held)
+		p.held = append(p.held, pool)
+		p.heldIndex[pool] = i
+	}
+	return i
+}
+
 func (p *pass) pools() {
 	for i := range p.Types {
 		for _, z := range p.Types[i].Zones {
@@ -307,84 +322,6 @@
 // maxTried bounds the work of a pass on one job.
 const maxTried = 1000
 
-// open is a slot that may take a task of the job in hand.
-type open struct {
-	*slot
-	order int // among all slots
-	at    float64
-	limit float64
-	share float64
-	kind  bool // as cheap as the job may have it
-}
-
-// opens is a heap, the slot that is free first on top.
-type opens []open
-
-func (o opens) Len() int { return len(o) }
-func (o opens) Less(i, k int) bool {
-	a, b := &o[i], &o[k]
-	if a.at != b.at {
-		return a.at < b.at
-	}
-	if a.kind != b.kind {
-		return a.kind
-	}
-	return a.order < b.order
-}
-func (o opens) Swap(i, k int) { o[i], o[k] = o[k], o[i] }
-func (o *opens) Push(x any)   { *o = append(*o, x.(open)) }
-func (o *opens) Pop() any {
-	last := (*o)[len(*o)-1]
-	*o = (*o)[:len(*o)-1]
-	return last
-}
-
-// onExisting puts up to count tasks on the machines that have room for them
-// first, if they start there before a new machine could be up or still end in
-// time: then they put no load on new machines past the boot lag. A machine that
-// boots for longer than the lag covers load from its rental on: another one
-// would not be up sooner, and every pass would rent it again. It returns how
-// many found room. Machines are looked at once for a job, not for each task.
-func (p *pass) onExisting(d Demand, count int, need place.Res, zones place.Zones, run float64) int {
-	endless := d.Job.Service() || math.IsInf(d.DeadlineS, 1)
-	var heap opens
-	for i, s := range p.room {
-		pool := s.m.Pool
-		if !p.allows(d, pool, zones) {
-			continue
-		}
-		o := open{slot: s, order: i, share: need.Share(place.Capacity(s.typ)), limit: p.LagS, kind: pool.Spot == d.Job.Spot}
-		if s.ready > 0 {
-			o.limit = math.Max(o.limit, s.typ.BootS)
-		}
-		if !endless {
-			o.limit = math.Max(o.limit, d.DeadlineS-run)
-		}
-		if o.at = s.free(o.share); o.at <= o.limit {
-			heap = append(heap, o)
-		}
-	}
-	heapify.Init(&heap)
-	found := 0
-	for found < count && len(heap) > 0 {
-		o := &heap[0]
-		if !zones.Allows(d.Job, o.m.Pool.Zone) {
-			heapify.Pop(&heap)
-			continue
-		}
-		o.add(o.at+run, o.share)
-		o.taken = true
-		zones[o.m.Pool.Zone]++
-		found++
-		if o.at = o.free(o.share); o.at > o.limit {
-			heapify.Pop(&heap)
-		} else {
-			heapify.Fix(&heap, 0)
-		}
-	}
-	return found
-}
-
 func (p *pass) allows(d Demand, pool Pool, zones place.Zones) bool {
 	return place.Allowed(d.Job, pool.Type, pool.Zone, pool.Spot) && zones.Allows(d.Job, pool.Zone) &&
 		(!d.Roomy || p.offer[pool.Zone] == p.most)
