--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -113,7 +113,7 @@
 
 // node is a controller's actors that take requests.
 type node struct {
-	front *frontdoor.Front
+	front *frontdoor.Server
 	mesh  *mesh.Mesh
 }
 
--- a/internal/frontdoor/frontdoor.go
+++ b/internal/frontdoor/frontdoor.go
@@ -36,8 +36,8 @@
 // passed on again.
 const Forwarded = "Lynxledge-Forwarded"
 
-// Front is the actor that knows the jobs as users see them.
-type Front struct {
+// Server is the actor that knows the jobs as users see them.
+type Server struct {
 	*actor.Actor
 	cfg     *config.Config
 	ledger  *ledger.Ledger
@@ -52,8 +52,8 @@
 }
 
 // Start runs the actor. peer may be nil.
-func Start(ctx context.Context, cfg *config.Config, l *ledger.Ledger, r *reports.Reports, peer Peer) *Front {
-	f := &Front{
+func Start(ctx context.Context, cfg *config.Config, l *ledger.Ledger, r *reports.Reports, peer Peer) *Server {
+	f := &Server{
 		Actor: actor.Start(ctx, "frontdoor", 512), cfg: cfg, ledger: l, reports: r, peer: peer,
 		stale: config.Secs(cfg.Params.Workers.ReportS),
 		pace:  newPace(cfg),
@@ -71,10 +71,10 @@
 }
 
 // SetTypes tells the front of the machine types.
-func (f *Front) SetTypes(types []wire.MachineType) { f.Send(func() { f.types = types }) }
+func (f *Server) SetTypes(types []wire.MachineType) { f.Send(func() { f.types = types }) }
 
 // Handler routes requests.
-func (f *Front) Handler() http.Handler {
+func (f *Server) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Post("/work", f.submit)
 	r.Get("/work/{id}", f.poll)
@@ -89,10 +89,10 @@
 // lost tells whether this node has had no word of the state service for so long
 // that a call would only hang: the time that a user waits is better spent on
 // another controller.
-func (f *Front) lost() bool { return time.Since(f.ledger.Fresh()) > f.stale }
+func (f *Server) lost() bool { return time.Since(f.ledger.Fresh()) > f.stale }
 
 // barrier waits until the view holds everything committed before the call.
-func (f *Front) barrier(ctx context.Context) error {
+func (f *Server) barrier(ctx context.Context) error {
 	if f.lost() {
 		return errNoState
 	}
@@ -121,7 +121,7 @@
 	job    *ledger.Job
 }
 
-func (f *Front) look(id string) (look, bool) {
+func (f *Server) look(id string) (look, bool) {
 	return actor.Ask(f.Actor, func(reply func(look)) {
 		j := f.view.Jobs[id]
 		if j == nil {
@@ -146,7 +146,7 @@
 
 // current is a job's state no older than the call: a final one from memory,
 // any other after a read of the state service.
-func (f *Front) current(ctx context.Context, id string) (look, error) {
+func (f *Server) current(ctx context.Context, id string) (look, error) {
 	l, ok := f.look(id)
 	if ok && l.known && !l.job.Active() {
 		return l, nil
@@ -162,7 +162,7 @@
 
 // relay passes a request on when this node can't answer for want of state;
 // without a controller that can, the user is told at once to come back.
-func (f *Front) relay(ctx context.Context, w http.ResponseWriter, r *http.Request, body []byte) {
+func (f *Server) relay(ctx context.Context, w http.ResponseWriter, r *http.Request, body []byte) {
 	if f.peer != nil && r.Header.Get(Forwarded) == "" {
 		if status, b, err := f.peer.Forward(ctx, r.Method, r.URL.Path, body); err == nil && status < http.StatusInternalServerError {
 			answer(w, status, json.RawMessage(b))
@@ -172,7 +172,7 @@
 	later(w, errNoState.Error())
 }
 
-func (f *Front) poll(w http.ResponseWriter, r *http.Request) {
+func (f *Server) poll(w http.ResponseWriter, r *http.Request) {
 	id := chi.URLParam(r, "id")
 	if !wire.ValidJobID(id) {
 		refuse(w, http.StatusNotFound, "no such job")
@@ -192,7 +192,7 @@
 }
 
 // commit makes a change on behalf of a waiting user.
-func (f *Front) commit(ctx context.Context, c ledger.Commit) (ledger.Outcome, bool) {
+func (f *Server) commit(ctx context.Context, c ledger.Commit) (ledger.Outcome, bool) {
 	ctx, cancel := context.WithTimeout(ctx, 2*tryAgain)
 	defer cancel()
 	ch := make(chan ledger.Outcome, 1)
@@ -205,7 +205,7 @@
 	}
 }
 
-func (f *Front) abort(w http.ResponseWriter, r *http.Request) {
+func (f *Server) abort(w http.ResponseWriter, r *http.Request) {
 	id := chi.URLParam(r, "id")
 	if !wire.ValidJobID(id) {
 		refuse(w, http.StatusNotFound, "no such job")
@@ -259,7 +259,7 @@
 // has lost its peers too can't tell that from its own isolation, and users who
 // stay connected to it would never be answered: it gives up in time for them to
 // find another.
-func (f *Front) ready(w http.ResponseWriter, _ *http.Request) {
+func (f *Server) ready(w http.ResponseWriter, _ *http.Request) {
 	age, ok := actor.Ask(f.Actor, func(reply func(float64)) {
 		if len(f.types) == 0 || f.fresh.IsZero() {
 			reply(math.Inf(1))
@@ -280,7 +280,7 @@
 // stays ready when no other is known to be better off.
 const isolatedLeases = 0.75
 
-func (f *Front) hello(w http.ResponseWriter, r *http.Request) {
+func (f *Server) hello(w http.ResponseWriter, r *http.Request) {
 	b, ok := body(w, r)
 	if !ok {
 		return
--- a/internal/frontdoor/submit.go
+++ b/internal/frontdoor/submit.go
@@ -33,7 +33,7 @@
 	return rate.Limit(cfg.WriteRPS() * acceptShare / float64(len(cfg.Peers)+1))
 }
 
-func (f *Front) submit(w http.ResponseWriter, r *http.Request) {
+func (f *Server) submit(w http.ResponseWriter, r *http.Request) {
 	b, ok := body(w, r)
 	if !ok {
 		return
@@ -81,7 +81,7 @@
 	f.accept(ctx, w, r, job, b)
 }
 
-func (f *Front) known(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, body []byte) {
+func (f *Server) known(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, body []byte) {
 	l, err := f.current(ctx, id)
 	if err != nil || !l.known {
 		f.relay(ctx, w, r, body)
@@ -91,7 +91,7 @@
 }
 
 // judge tells why a job can never run, or can't be judged yet.
-func (f *Front) judge(j *wire.Job) (int, string) {
+func (f *Server) judge(j *wire.Job) (int, string) {
 	team, ok := f.cfg.Params.Team(j.Team)
 	if !ok {
 		return http.StatusUnprocessableEntity, "unknown team " + strconv.Quote(j.Team)
@@ -118,7 +118,7 @@
 
 // predecessors tells why a job can't wait for what it names. That a job was
 // accepted is final: only if one is not known here the state has to be read, once.
-func (f *Front) predecessors(ctx context.Context, j *wire.Job) (status int, why string, err error) {
+func (f *Server) predecessors(ctx context.Context, j *wire.Job) (status int, why string, err error) {
 	read := false
 	for _, id := range j.Awaits {
 		l, ok := f.look(id)
@@ -159,7 +159,7 @@
 	return false
 }
 
-func (f *Front) accept(ctx context.Context, w http.ResponseWriter, r *http.Request, j *wire.Job, body []byte) {
+func (f *Server) accept(ctx context.Context, w http.ResponseWriter, r *http.Request, j *wire.Job, body []byte) {
 	if f.lost() {
 		f.relay(ctx, w, r, body)
 		return
