Bound inbound connections: a fleet larger than the sockets is served in turn

Cause: every worker and user kept a connection open, without a bound. Now: package connlimit. Beyond three quarters of the bound responses close their connections; at the bound the one idle longest goes. The sockets are divided in one place.

--- a/cmd/lynxledge/fleet_test.go
+++ b/cmd/lynxledge/fleet_test.go
@@ -187,12 +187,12 @@
 	for name, f := range fleets {
 		var p config.Params
 		f.tweak(&p)
-		idle, busy := workerSockets(p.Resources)
-		if left := p.Resources.FDLimit - f.machines() - idle - busy; left < 64 {
+		sockets := socketsOf(p.Resources)
+		if left := p.Resources.FDLimit - f.machines() - sockets.idleCommands - sockets.busyCommands; left < 64 {
 			t.Errorf("%s: %d sockets left", name, left)
 		}
-		if idle < f.machines()/2 {
-			t.Errorf("%s: %d connections kept for %d machines", name, idle, f.machines())
+		if sockets.idleCommands < f.machines()/2 {
+			t.Errorf("%s: %d connections kept for %d machines", name, sockets.idleCommands, f.machines())
 		}
 	}
 }
--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -17,6 +17,7 @@
 	"lynxledge/internal/apiserver"
 	"lynxledge/internal/cloud"
 	"lynxledge/internal/config"
+	"lynxledge/internal/connlimit"
 	"lynxledge/internal/election"
 	"lynxledge/internal/ledger"
 	"lynxledge/internal/mesh"
@@ -68,11 +69,11 @@
 func serve(ctx context.Context, cfg *config.Config, users, peers net.Listener) error {
 	p, ops := cfg.Params, cfg.Ops
 	report := config.Secs(p.Workers.ReportS)
-	idle, busy := workerSockets(p.Resources)
+	sockets := socketsOf(p.Resources)
 	n := assemble(ctx, cfg, rand.Uint64()>>1, links{
 		state:   state.New(cfg.External.State, p.State.ReadRPS(), p.State.WriteRPS, p.State.TxnOps, report/2),
 		cloud:   cloud.New(cfg.External.Cloud, p.Cloud.RPS, ops.CloudShare, 2*report),
-		workers: worker.New(report, idle, busy),
+		workers: worker.New(report, sockets.idleCommands, sockets.busyCommands),
 		peers:   new(net.Dialer).DialContext,
 	})
 	go func() {
@@ -80,23 +81,16 @@
 			slog.Error("mesh server ended", "err", err)
 		}
 	}()
+	connections := connlimit.New(sockets.inbound)
 	srv := &http.Server{
-		Handler: n.front.Handler(), ReadHeaderTimeout: 4 * report,
-		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
+		Handler:           connections.Handler(n.front.Handler()),
+		ConnState:         connections.ConnState,
+		ReadHeaderTimeout: 4 * report,
+		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
 	}
 	return srv.Serve(users)
 }
 
-// workerSockets are the parts of the sockets that commands to workers may keep
-// idle, and use. When the other controllers are down, every worker reports here
-// besides, on a socket of its own; users and peers need some too.
-func workerSockets(r config.Resources) (idle, busy int) {
-	if r.FDLimit <= 0 {
-		return math.MaxInt16, math.MaxInt16
-	}
-	return r.FDLimit * 3 / 10, r.FDLimit * 3 / 20
-}
-
 // links are a controller's ways to the world.
 type links struct {
 	state interface {
