--- /dev/null
+++ b/cmd/lynxledge/sockets_test.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lynxledge/internal/config"
+	"lynxledge/internal/connlimit"
+	"lynxledge/internal/fakes"
+)
+
+// countingListener counts the connections that are open.
+type countingListener struct {
+	net.Listener
+	open, most atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if open := l.open.Add(1); open > l.most.Load() {
+		l.most.Store(open)
+	}
+	return &countedConn{Conn: conn, listener: l}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	listener *countingListener
+	closed   atomic.Bool
+}
+
+func (c *countedConn) Close() error {
+	if !c.closed.Swap(true) {
+		c.listener.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
+// More machines than a controller has sockets keep their connections open as long as they
+// are let. Each of them is answered in each round of reports, health checks are too, and
+// the sockets that the controller needs for itself stay free.
+func TestMoreMachinesThanSockets(t *testing.T) {
+	const machines, rounds, silentClients = 1400, 3, 100 // a third of 4,000 machines and more
+	resources := config.Resources{FDLimit: 800}
+	synctest.Test(t, func(t *testing.T) {
+		pipes := fakes.NewPipes(fakes.NewNet(1, 0))
+		listener := &countingListener{Listener: pipes.Listen("n0", "n0:8080")}
+		limiter := connlimit.New(socketsOf(resources).inbound)
+		server := &http.Server{
+			Handler:   limiter.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "{}") })),
+			ConnState: limiter.ConnState,
+		}
+		go server.Serve(listener)
+		dial := pipes.Dial("user")
+		for range silentClients { // connect, and say nothing
+			if _, err := dial(t.Context(), "tcp", "n0:8080"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var failed atomic.Int64
+		report := func(client *http.Client) {
+			response, err := client.Post("http://n0:8080/hello", "application/json", bytes.NewReader([]byte("{}")))
+			if err != nil {
+				failed.Add(1)
+				return
+			}
+			response.Body.Close()
+		}
+		clients := make([]*http.Client, machines)
+		for i := range clients {
+			clients[i] = &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DialContext: dial}}
+		}
+		for round := range rounds {
+			for i, client := range clients {
+				go report(client)
+				if i%100 == 0 {
+					go report(&http.Client{Timeout: time.Second, Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}})
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+			time.Sleep(5 * time.Second)
+			if n := failed.Load(); n > 0 {
+				t.Errorf("round %d: %d requests failed", round, n)
+			}
+		}
+		// One more is open while another closes for it.
+		if most := listener.most.Load(); most > int64(socketsOf(resources).inbound)+1 {
+			t.Errorf("%d connections were open", most)
+		}
+		server.Shutdown(context.Background())
+		for _, client := range clients {
+			client.CloseIdleConnections()
+		}
+		pipes.Crash("n0")
+		time.Sleep(time.Minute)
+	})
+}
+
+// The parts of the budget leave sockets for the state service, the cloud and the other
+// controllers, however few there are.
+func TestSocketBudgetLeavesAReserve(t *testing.T) {
+	for _, limit := range []int{20, 100, 800, 5000} {
+		sockets := socketsOf(config.Resources{FDLimit: limit})
+		if reserve := limit - sockets.inbound - sockets.idleCommands - sockets.busyCommands; reserve < limit/10 {
+			t.Errorf("%d of %d sockets left", reserve, limit)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fakes/idle_test.go
@@ -0,0 +1,69 @@
+package fakes
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lynxledge/internal/config"
+	_ "lynxledge/internal/seeded"
+	"lynxledge/wire"
+)
+
+// The least of a window is what a look through all of its samples finds.
+func TestSlidingMinimum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		values := rapid.SliceOfN(rapid.IntRange(0, 9), 1, 200).Draw(t, "values")
+		back := rapid.IntRange(0, int(mayWait/time.Second)).Draw(t, "back")
+		begin := time.Now()
+		var window slidingMinimum
+		for i, v := range values {
+			now := begin.Add(time.Duration(i) * time.Second)
+			window.add(now, float64(v))
+			want := slices.Min(values[max(0, i-back) : i+1])
+			if got := window.since(now.Add(-time.Duration(back) * time.Second)); got != float64(want) {
+				t.Fatalf("least of %v: %v", values[max(0, i-back):i+1], got)
+			}
+		}
+	})
+}
+
+// A job that waits beside a machine that is free all the time is left waiting; where
+// machines only take turns at being free, it is not.
+func TestIdleNeedsOneMachinesRoom(t *testing.T) {
+	types := []wire.MachineType{{Name: "s", CPUs: 4, MemoryGB: 16}}
+	up := []wire.Host{{ID: "i-1", Type: "s", Zone: "a"}, {ID: "i-2", Type: "s", Zone: "a"}}
+	for _, test := range []struct {
+		name  string
+		inUse func(second int) wire.Host
+		left  bool
+	}{
+		{"one stays free", func(int) wire.Host { return up[0] }, true},
+		{"they take turns", func(second int) wire.Host { return up[second/80%2] }, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			r := NewRules(config.Params{Teams: []config.Team{{Name: "red"}}})
+			array := func(id string) {
+				r.Submitted(&wire.Job{ID: id, Team: "red", Shape: wire.ShapeArray, Tasks: 2, CPUs: 4, MemoryGB: 1}, time.Hour)
+				r.Told(id, 201, wire.JobQueued)
+			}
+			array("req-000001") // runs
+			array("req-000002") // waits
+			r.Started(up[0], "req-000001/0")
+			r.Over()
+			for second := range 300 {
+				r.Ended("i-1", "req-000001/0")
+				r.Ended("i-2", "req-000001/0")
+				r.Started(test.inUse(second), "req-000001/0")
+				r.Idle(up, types)
+				time.Sleep(time.Second)
+			}
+			if left := len(r.Breaches()) > 0; left != test.left {
+				t.Errorf("%s: %v", test.name, r.Breaches())
+			}
+		})
+	}
+}
