--- a/internal/plan/bench_test.go
+++ b/internal/plan/bench_test.go
@@ -8,9 +8,9 @@
 	"lynxledge/wire"
 )
 
-// grown is what a pass looks at on the larger grown deployment, all machines in use and
-// a queue in front of them.
-func grown() Input {
+// fleetOf is what a pass looks at on a deployment of many machines, all in use, and a queue
+// in front of them that grows with the machines.
+func fleetOf(machines int) Input {
 	in := Input{
 		Types: []wire.MachineType{
 			{Name: "s", CPUs: 4, MemoryGB: 32, Price: 0.19, SpotPrice: 0.05, BootS: 50, Zones: []string{"a", "b"}},
@@ -19,14 +19,14 @@
 		LagS: 45, PassS: 5, BillingS: 30, Headroom: 0.1, Premium: 2, Refused: func(Pool) bool { return false },
 	}
 	scan := &wire.Job{ID: "req-000001", Shape: wire.ShapeArray, Rank: wire.RankNormal, Tasks: 80, CPUs: 4, MemoryGB: 29, Spot: true}
-	for i := range 1830 {
+	for i := range machines {
 		pool := Pool{Type: "s", Zone: "a", Spot: true}
 		if i%3 == 0 {
 			pool = Pool{Type: "b", Zone: "c", Spot: true}
 		}
 		in.Machines = append(in.Machines, Machine{Name: fmt.Sprintf("i-%06d", i), Pool: pool, AgeS: float64(i), Open: true, Tasks: []Held{{Job: scan, LeftS: float64(i % 15)}}})
 	}
-	for i := range 60 {
+	for i := range max(1, machines/30) {
 		job := *scan
 		job.ID = fmt.Sprintf("req-%06d", 100+i)
 		in.Demands = append(in.Demands, Demand{Job: &job, Count: 80, DeadlineS: float64(2 * i), RunS: 15, Zones: place.Zones{}})
@@ -36,10 +36,14 @@
 
 // BenchmarkPass is one pass of the planner.
 func BenchmarkPass(b *testing.B) {
-	in := grown()
-	b.ReportAllocs()
-	for b.Loop() {
-		Make(in)
+	for _, machines := range []int{250, 1830, 4000} {
+		b.Run(fmt.Sprintf("machines=%d", machines), func(b *testing.B) {
+			in := fleetOf(machines)
+			b.ReportAllocs()
+			for b.Loop() {
+				Make(in)
+			}
+		})
 	}
 }
 
@@ -49,7 +53,7 @@
 // A pass allocates for each machine and each demand, not for each pair of them: a list of
 // all machines for each job was 20 MB a pass.
 func TestAllocationsOfAPass(t *testing.T) {
-	in := grown()
+	in := fleetOf(1830)
 	if allocations := testing.AllocsPerRun(5, func() { Make(in) }); allocations > maxPassAllocations {
 		t.Errorf("%v allocations for %d machines and %d jobs", allocations, len(in.Machines), len(in.Demands))
 	}
--- a/internal/plan/existing.go
+++ b/internal/plan/existing.go
@@ -3,10 +3,31 @@
 import (
 	"container/heap"
 	"math"
+	"strings"
 
 	"lynxledge/internal/place"
 )
 
+// demandShape is all of a demand that decides when a slot could take one of its tasks.
+// Jobs of one class mostly have the same.
+type demandShape struct {
+	need  place.Resources
+	types string
+	zone  string
+	spot  bool
+	roomy bool
+}
+
+func shapeOf(d Demand, need place.Resources) demandShape {
+	return demandShape{
+		need:  need,
+		types: strings.Join(d.Job.Types, " "),
+		zone:  d.Job.Zone,
+		spot:  d.Job.Spot,
+		roomy: d.Roomy,
+	}
+}
+
 // poolChoice is what a pool's machines mean to the job in hand. It is the same for all
 // of them, so it is worked out once for each job.
 type poolChoice struct {
@@ -17,15 +38,24 @@
 	kind     bool    // as cheap as the job may have it
 }
 
-// candidate is a slot that may take a task of the job in hand. A pass looks at every
-// machine for every job: candidates hold no pointers, and their list is used again.
+// latest is until when a task must be able to start on a slot.
+func (c *poolChoice) latest(s *slot) float64 {
+	if s.ready > 0 {
+		return c.starting
+	}
+	return c.limit
+}
+
+// candidate is a slot that may take a task. A pass holds one for each machine and shape:
+// they hold no pointers.
 type candidate struct {
-	at   float64 // when the task could start there
+	at   float64 // when the task could start there, or a time before that
 	slot int32
 	kind bool
 }
 
-// candidates is a heap, the slot that is free first on top.
+// candidates is a heap, the slot that is free first on top. What has been put on slots
+// since makes them free later than it says: whoever takes the top asks the slot.
 type candidates []candidate
 
 func (c candidates) Len() int { return len(c) }
@@ -40,7 +70,11 @@
 	return a.slot < b.slot
 }
 func (c candidates) Swap(i, k int) { c[i], c[k] = c[k], c[i] }
-func (c *candidates) Push(x any)   { *c = append(*c, x.(candidate)) }
+
+// Push and Pop complete heap.Interface. They are not called: both allocate.
+func (c *candidates) Push(x any) { *c = append(*c, x.(candidate)) }
+
+// Pop removes the last candidate.
 func (c *candidates) Pop() any {
 	last := len(*c) - 1
 	top := (*c)[last]
@@ -48,7 +82,13 @@
 	return top
 }
 
-// drop takes the top off; heap.Pop would allocate for it.
+// add puts a candidate where it belongs.
+func (c *candidates) add(x candidate) {
+	*c = append(*c, x)
+	heap.Fix(c, len(*c)-1)
+}
+
+// drop takes the top off.
 func (c *candidates) drop() {
 	last := len(*c) - 1
 	c.Swap(0, last)
@@ -58,75 +98,128 @@
 	}
 }
 
+// slotQueue is the queue of the slots for demands of one shape.
+type slotQueue struct {
+	candidates
+	used int // the number of the demand that used it last
+}
+
+// maxQueues is for how many shapes queues are kept at a time.
+const maxQueues = 16
+
+// queue finds the slots for a shape. They are looked through once for each shape, not for
+// each demand: machines and jobs together may be many.
+func (p *pass) queue(shape demandShape, choices []poolChoice) *slotQueue {
+	p.demands++
+	if q := p.queues[shape]; q != nil {
+		q.used = p.demands
+		return q
+	}
+	q := &slotQueue{used: p.demands}
+	if len(p.queues) == maxQueues {
+		q.candidates = p.dropOldestQueue()
+	}
+	p.queues[shape] = q
+	for i, s := range p.room {
+		choice := &choices[s.pool]
+		if !choice.allowed {
+			continue
+		}
+		if at := s.free(choice.share); !math.IsInf(at, 1) {
+			q.candidates = append(q.candidates, candidate{at: at, slot: int32(i), kind: choice.kind})
+		}
+	}
+	heap.Init(q)
+	return q
+}
+
+// dropOldestQueue forgets the queue that was not used for the longest time, and returns
+// its memory.
+func (p *pass) dropOldestQueue() candidates {
+	var oldest demandShape
+	least := math.MaxInt
+	for shape, q := range p.queues {
+		if q.used < least {
+			oldest, least = shape, q.used
+		}
+	}
+	memory := p.queues[oldest].candidates[:0]
+	delete(p.queues, oldest)
+	return memory
+}
+
 // onExisting puts up to count tasks on the machines that have room for them
 // first, if they start there before a new machine could be up or still end in
 // time: then they put no load on new machines past the boot lag. A machine that
 // boots for longer than the lag covers load from its rental on: another one
 // would not be up sooner, and every pass would rent it again. It returns how
-// many found room. Machines are looked at once for a job, not for each task.
+// many found room.
 func (p *pass) onExisting(d Demand, count int, need place.Resources, zones place.Zones, run float64) int {
-	choices := p.poolChoices(d, need, zones, run)
-	open := p.candidates[:0]
-	for i, s := range p.room {
+	choices, latest := p.poolChoices(d, need, run)
+	queue := p.queue(shapeOf(d, need), choices)
+	passedOver := p.passedOver[:0] // that later demands may take
+	found := 0
+	for found < count && queue.Len() > 0 {
+		top := &queue.candidates[0]
+		s := p.room[top.slot]
 		choice := &choices[s.pool]
-		if !choice.allowed {
+		if at := s.free(choice.share); at > top.at {
+			p.postpone(queue, at)
 			continue
 		}
-		if at := s.free(choice.share); at <= choice.latest(s) {
-			open = append(open, candidate{at: at, slot: int32(i), kind: choice.kind})
+		if top.at > latest {
+			break
 		}
-	}
-	p.candidates = open
-	heap.Init(&open)
-	found := 0
-	for found < count && len(open) > 0 {
-		top := &open[0]
-		s := p.room[top.slot]
-		if !zones.Allows(d.Job, s.m.Pool.Zone) {
-			open.drop()
+		if top.at > choice.latest(s) || !zones.Allows(d.Job, s.m.Pool.Zone) {
+			passedOver = append(passedOver, *top)
+			queue.drop()
 			continue
 		}
-		choice := &choices[s.pool]
 		s.add(top.at+run, choice.share)
 		s.taken = true
 		zones[s.m.Pool.Zone]++
 		found++
-		if top.at = s.free(choice.share); top.at > choice.latest(s) {
-			open.drop()
-		} else {
-			heap.Fix(&open, 0)
-		}
+		p.postpone(queue, s.free(choice.share))
 	}
+	for _, c := range passedOver {
+		queue.add(c)
+	}
+	p.passedOver = passedOver
 	return found
 }
 
-// latest is until when a task must be able to start on a slot.
-func (c *poolChoice) latest(s *slot) float64 {
-	if s.ready > 0 {
-		return c.starting
+// postpone notes from when the top of a queue is free.
+func (p *pass) postpone(queue *slotQueue, at float64) {
+	if math.IsInf(at, 1) {
+		queue.drop()
+		return
 	}
-	return c.limit
+	queue.candidates[0].at = at
+	heap.Fix(queue, 0)
 }
 
-// poolChoices tells of each pool that there are machines of what they mean to the job.
-func (p *pass) poolChoices(d Demand, need place.Resources, zones place.Zones, run float64) []poolChoice {
-	choices := make([]poolChoice, len(p.held))
-	latest := p.LagS
+// poolChoices tells of each pool that there are machines of what they mean to the job,
+// and the latest start on any of them.
+func (p *pass) poolChoices(d Demand, need place.Resources, run float64) (choices []poolChoice, latest float64) {
+	choices = make([]poolChoice, len(p.held))
+	limit := p.LagS
 	if !d.Job.Service() && !math.IsInf(d.DeadlineS, 1) {
-		latest = max(latest, d.DeadlineS-run)
+		limit = max(limit, d.DeadlineS-run)
 	}
+	latest = limit
 	for i, pool := range p.held {
-		if !p.allows(d, pool, zones) {
+		if !p.allowsPool(d, pool) {
 			continue
 		}
 		machineType := p.types[pool.Type]
 		choices[i] = poolChoice{
 			allowed:  true,
 			share:    need.Share(place.Capacity(machineType)),
-			limit:    latest,
-			starting: max(latest, machineType.BootS),
+			limit:    limit,
+			starting: max(limit, machineType.BootS),
 			kind:     pool.Spot == d.Job.Spot,
 		}
+		latest = max(latest, choices[i].starting)
 	}
-	return choices
+	return choices, latest
 }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -131,8 +131,16 @@
 
 // Make runs one pass.
 func Make(in Input) Plan {
-	p := &pass{Input: in, types: map[string]*wire.MachineType{}, offer: map[string]int{}, load: map[Pool]float64{},
-		tasks: map[Pool]int{}, share: map[Pool]float64{}, heldIndex: map[Pool]int{}}
+	p := &pass{
+		Input:     in,
+		types:     map[string]*wire.MachineType{},
+		offer:     map[string]int{},
+		load:      map[Pool]float64{},
+		tasks:     map[Pool]int{},
+		share:     map[Pool]float64{},
+		heldIndex: map[Pool]int{},
+		queues:    map[demandShape]*slotQueue{},
+	}
 	for i := range in.Types {
 		p.types[in.Types[i].Name] = &in.Types[i]
 	}
@@ -189,9 +197,12 @@
 	tasks map[Pool]int     // that put load on it
 	share map[Pool]float64 // sum of their shares
 
-	held       []Pool // pools that there are machines of
-	heldIndex  map[Pool]int
-	candidates candidates // for the job in hand
+	held      []Pool // pools that there are machines of
+	heldIndex map[Pool]int
+
+	queues     map[demandShape]*slotQueue
+	demands    int         // that have asked for a queue
+	passedOver []candidate // memory that is used again
 }
 
 // slots finds the machines there are, and when their tasks end.
@@ -322,8 +333,14 @@
 // maxTried bounds the work of a pass on one job.
 const maxTried = 1000
 
+// allows tells whether one more task of a demand may be rented a machine of a pool.
 func (p *pass) allows(d Demand, pool Pool, zones place.Zones) bool {
-	return place.Allowed(d.Job, pool.Type, pool.Zone, pool.Spot) && zones.Allows(d.Job, pool.Zone) &&
+	return p.allowsPool(d, pool) && zones.Allows(d.Job, pool.Zone)
+}
+
+// allowsPool tells the same, wherever the job's other tasks are.
+func (p *pass) allowsPool(d Demand, pool Pool) bool {
+	return place.Allowed(d.Job, pool.Type, pool.Zone, pool.Spot) &&
 		(!d.Roomy || p.offer[pool.Zone] == p.most)
 }
 
