Costs that grew with machines or jobs: silent machines, teams, guarantees

- Each silent machine's replicas were looked for on all machines, which were listed anew for each: when 200 die, 200 lists of the fleet every half report.
One list serves all, and the first machine with room is enough.
- The leader counted all jobs by team with each change; it follows them now.
- A round sorted all open jobs by age; they stay sorted while none comes or ends.
Owed is GuaranteedJobs.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -8,7 +8,6 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"lynxledge/internal/actor"
@@ -41,6 +40,7 @@
 	ledger *ledger.Ledger
 	opt    Options
 	view   *ledger.View
+	teams  *teamList
 
 	lease   uint64
 	renewed time.Time
@@ -52,12 +52,16 @@
 func Start(ctx context.Context, leases Leases, l *ledger.Ledger, opt Options) *Election {
 	e := &Election{
 		Actor: actor.Start(ctx, "election", 256), ctx: ctx, leases: leases, ledger: l,
-		opt: opt, view: ledger.NewRunningView(opt.Chunk),
+		opt: opt, view: ledger.NewRunningView(opt.Chunk), teams: newTeamList(opt.Teams),
 	}
 	l.Subscribe(func(d ledger.Delta) {
 		e.Send(func() {
 			for _, c := range d.Changes {
 				e.view.Apply(c)
+				if c.Kind == ledger.KindJob {
+					job, _ := c.Rec.(*ledger.Job)
+					e.teams.apply(c.Name, job)
+				}
 			}
 			e.step()
 		})
@@ -182,7 +186,7 @@
 
 // assignTeams gives teams without a live controller a new one.
 func (e *Election) assignTeams() {
-	teams := Teams(e.opt.Teams, e.view.Jobs)
+	teams := e.teams.list()
 	c := ledger.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Version: e.view.Leader.Stamp}}}
 	for team, member := range Assign(teams, e.view.Assignments, e.view.Members, e.view.Leader.Member) {
 		if len(c.Puts) == e.opt.MaxOps {
@@ -202,18 +206,6 @@
 	}
 }
 
-// Teams lists those of the settings and those that left them while jobs of
-// theirs run on.
-func Teams(settings []string, jobs map[string]*ledger.Job) []string {
-	teams := slices.Clone(settings)
-	for _, j := range jobs {
-		if j.Active() && j.Spec != nil && !slices.Contains(teams, j.Spec.Team) {
-			teams = append(teams, j.Spec.Team)
-		}
-	}
-	return teams
-}
-
 // Assign names the teams that need another controller. All are handed to one,
 // since a group of machines is best written by one controller alone; it keeps
 // them while it lives. Rather another than the leader, which has work enough.
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -60,13 +60,24 @@
 	})
 }
 
-// A team that left the settings keeps its running jobs placed.
+// A team that left the settings keeps its running jobs placed, until the last is over.
 func TestTeamsOfRunningJobs(t *testing.T) {
 	job := func(team, state string) *ledger.Job { return &ledger.Job{Spec: &wire.Job{Team: team}, State: state} }
-	got := Teams([]string{"a"}, map[string]*ledger.Job{
-		"1": job("a", ""), "2": job("gone", ""), "3": job("over", wire.JobCancelled), "4": job("gone", ""),
-	})
-	if !slices.Equal(got, []string{"a", "gone"}) {
+	teams := newTeamList([]string{"a"})
+	teams.apply("1", job("a", ""))
+	teams.apply("2", job("gone", ""))
+	teams.apply("3", job("over", wire.JobCancelled))
+	teams.apply("4", job("gone", ""))
+	if got := teams.list(); !slices.Equal(got, []string{"a", "gone"}) {
 		t.Fatalf("teams %v", got)
 	}
+	teams.apply("2", job("gone", "")) // told again
+	teams.apply("2", &ledger.Job{State: wire.JobDone})
+	if got := teams.list(); !slices.Equal(got, []string{"a", "gone"}) {
+		t.Fatalf("teams %v with one job left", got)
+	}
+	teams.apply("4", nil)
+	if got := teams.list(); !slices.Equal(got, []string{"a"}) {
+		t.Fatalf("teams %v after the last", got)
+	}
 }
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -6,7 +6,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"lynxledge/internal/config"
@@ -160,6 +159,13 @@
 	return out
 }
 
+// CanTake tells whether the node has room for one more task of a job, which needs that
+// much, and the job allows it, given the zones of its other tasks.
+func (n *Node) CanTake(j *wire.Job, need Resources, zones Zones) bool {
+	return Allowed(j, n.Type.Name, n.Zone, n.Spot) && zones.Allows(j, n.Zone) &&
+		n.Used.Plus(need, 1).Fits(Capacity(n.Type))
+}
+
 // Offers tells how many machine types can be rented in a zone, as a share of
 // the zone that offers most.
 type Offers map[string]float64
@@ -172,11 +178,10 @@
 	bestScore := math.Inf(1)
 	need := RequestOf(j)
 	for _, n := range nodes {
-		limit := Capacity(n.Type)
-		if !Allowed(j, n.Type.Name, n.Zone, n.Spot) || !zones.Allows(j, n.Zone) || !n.Used.Plus(need, 1).Fits(limit) {
+		if !n.CanTake(j, need, zones) {
 			continue
 		}
-		if s := score(j, zones, offers, n, limit); s < bestScore {
+		if s := score(j, zones, offers, n, Capacity(n.Type)); s < bestScore {
 			best, bestScore = n, s
 		}
 	}
@@ -217,35 +222,6 @@
 	Cost  float64
 }
 
-// Owed tells which jobs are within their teams' guarantees: those that fit
-// together with the team's earlier unfinished jobs. What a team runs beyond its
-// guarantee is the rest.
-func Owed(jobs []Claim, team func(string) config.Team) map[string]bool {
-	slices.SortFunc(jobs, func(a, b Claim) int {
-		if a.At != b.At {
-			return int(a.At - b.At)
-		}
-		return strings.Compare(a.Job.ID, b.Job.ID)
-	})
-	used := Usage{}
-	owed := map[string]bool{}
-	for _, c := range jobs {
-		all := Resources{}.Plus(RequestOf(c.Job), float64(c.Left))
-		if used.WithinGuarantee(team(c.Job.Team), all) {
-			owed[c.Job.ID] = true
-		}
-		used[c.Job.Team] = used[c.Job.Team].Plus(all, 1)
-	}
-	return owed
-}
-
-// Claim is an unfinished job: when it was accepted, and its tasks not yet done.
-type Claim struct {
-	Job  *wire.Job
-	At   int64
-	Left int
-}
-
 // Preempt finds the cheapest set of tasks to stop for a task of job j. Work
 // of lower priority may go; with the team inside its guarantee so may work of any
 // priority that another team runs beyond its own. Nothing else may.
--- a/internal/place/choose_test.go
+++ b/internal/place/choose_test.go
@@ -37,7 +37,7 @@
 			j := genSpec(t, 100+k)
 			if n.Used.Plus(RequestOf(j), 1).Fits(Capacity(n.Type)) {
 				n.Used = n.Used.Plus(RequestOf(j), 1)
-				n.Tasks = append(n.Tasks, Task{Job: j, N: i, Guaranteed: rapid.Bool().Draw(t, "owed")})
+				n.Tasks = append(n.Tasks, Task{Job: j, N: i, Guaranteed: rapid.Bool().Draw(t, "guaranteed")})
 			}
 		}
 		nodes = append(nodes, n)
@@ -114,17 +114,17 @@
 	})
 }
 
-// A team's early replicas are owed to it however much batch work it borrows
+// A team's early replicas are guaranteed to it however much batch work it borrows
 // room for later: they were stopped for other teams' replicas.
-func TestEarlierJobsAreOwed(t *testing.T) {
+func TestEarlierJobsAreGuaranteed(t *testing.T) {
 	team := func(string) config.Team { return config.Team{Name: "a", CPUs: 10} }
 	job := func(id string, cpus float64) *wire.Job { return &wire.Job{ID: id, Team: "a", CPUs: cpus} }
-	owed := Owed([]Claim{
+	guaranteed := GuaranteedJobs([]Claim{
 		{job("req-000003", 4), 30, 20}, {job("req-000001", 2), 10, 2}, {job("req-000004", 2), 40, 1}, {job("req-000002", 2), 20, 3},
 	}, team)
 	for id, want := range map[string]bool{"req-000001": true, "req-000002": true, "req-000003": false, "req-000004": false} {
-		if owed[id] != want {
-			t.Errorf("%s owed: %v", id, owed[id])
+		if guaranteed[id] != want {
+			t.Errorf("%s guaranteed: %v", id, guaranteed[id])
 		}
 	}
 }
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -44,6 +44,7 @@
 	types  map[string]*wire.MachineType
 	offers Offers
 	active map[string]*ledger.Job
+	claims claimList // of the active jobs
 	runs   *Estimates
 	low    map[string]int       // lowest task of a job that may not be done
 	images map[string][]image   // machine: images fetched there, newest first
@@ -159,8 +160,10 @@
 			// towards nothing. Only records that say done make it ready.
 			if j != nil && j.Active() && j.Spec != nil && !j.Blocked {
 				p.active[c.Name] = j
+				p.claims.outdated = true
 			} else {
 				delete(p.active, c.Name)
+				p.claims.outdated = true
 				delete(p.low, c.Name)
 				delete(p.failed, c.Name)
 				delete(p.yields, c.Name)
@@ -201,34 +204,6 @@
 	return slices.DeleteFunc(slices.Clone(nodes), func(n *Node) bool { return !n.Image(image) })
 }
 
-// judge brings up to date what a choice of victims looks at.
-func (p *Placer) judge(r *round, nodes []*Node) {
-	if r.owed == nil {
-		claims := make([]Claim, 0, len(p.active))
-		for id, j := range p.active {
-			claims = append(claims, Claim{j.Spec, j.RunnableSince(), j.Tasks - p.view.DoneCount(id)})
-		}
-		r.owed = Owed(claims, p.team)
-	}
-	for _, n := range nodes {
-		if r.judged[n] {
-			continue
-		}
-		r.judged[n] = true
-		for i := range n.Tasks {
-			t := &n.Tasks[i]
-			if t.Job == nil {
-				continue
-			}
-			j := p.active[t.Job.ID]
-			t.Stops = t.Stops || j == nil
-			t.Guaranteed = r.owed[t.Job.ID]
-			t.Last = j != nil && p.view.Waits(t.Job.ID, j) <= 0
-			t.Spent = r.now.Sub(t.Since).Seconds()
-		}
-	}
-}
-
 func (p *Placer) team(name string) config.Team {
 	t, _ := p.cfg.Params.Team(name)
 	t.Name = name
--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -23,7 +23,7 @@
 	hands          map[string]uint64
 	placed         map[string]int
 	tally          Usage
-	owed           map[string]bool
+	guaranteed     map[string]bool // jobs within their teams' guarantees
 	starts         map[string][]wire.Order
 	stops          map[string][]wire.Order
 	gone           int                        // tasks that left
--- a/internal/rent/failures.go
+++ b/internal/rent/failures.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"lynxledge/internal/config"
@@ -79,6 +80,7 @@
 	// One that stopped is listed as failed long before this; one that is cut
 	// off ends its tasks after a lease, but may be back sooner than another.
 	lost := config.Secs(2 * r.cfg.Params.Workers.LeaseS)
+	var others []*place.Node // made once, for there may be many silent machines
 	for _, m := range silent {
 		// A leader that is cut off from the workers hears none, and then the
 		// mesh may be silent too: others had the time to take the mark away.
@@ -90,8 +92,16 @@
 		// new ones in their place would not be heard either.
 		zone := r.view.Machines[m].Zone
 		cut := lostIn[zone] >= cutFrom && 2*lostIn[zone] > up[zone] || 2*len(silent) > all
-		if now.Sub(r.heard[m]) < lost && (cut || !r.replaceable(m)) {
-			continue
+		if now.Sub(r.heard[m]) < lost {
+			if cut {
+				continue
+			}
+			if others == nil {
+				others = r.openNodes()
+			}
+			if !r.replaceable(r.view.Machines[m], others) {
+				continue
+			}
 		}
 		r.close(m, "silent")
 	}
@@ -101,41 +111,56 @@
 // cut off: fewer may well have died.
 const cutFrom = 5
 
-// replaceable tells whether all replicas of a silent machine have room on
-// others. If not, it is kept for as long as its lease may run: a machine that
-// is cut off goes on serving, a new one takes its time to boot, and the cloud
-// may have none.
-func (r *Renter) replaceable(silent string) bool {
+// openNodes are the machines that take tasks, as far as replicas fill them: work of lower
+// priority makes room.
+func (r *Renter) openNodes() []*place.Node {
 	types := map[string]*wire.MachineType{}
 	for i := range r.types {
 		types[r.types[i].Name] = &r.types[i]
 	}
-	var nodes []*place.Node
+	nodes := make([]*place.Node, 0, len(r.view.Machines))
 	for m, b := range r.view.Machines {
-		if m == silent || types[b.Type] == nil || !b.Open() {
+		if types[b.Type] == nil || !b.Open() {
 			continue
 		}
-		n := &place.Node{Name: m, Type: types[b.Type], Zone: b.Zone, Spot: b.Spot, Image: func(string) bool { return true }}
+		n := &place.Node{Name: m, Type: types[b.Type], Zone: b.Zone, Spot: b.Spot}
 		for i := range b.Tasks {
-			// Work of lower priority makes room.
 			if j := r.view.Jobs[b.Tasks[i].Job]; j != nil && j.Spec != nil && j.Spec.Rank == wire.RankProd {
 				n.Used = n.Used.Plus(place.RequestOf(j.Spec), 1)
 			}
 		}
 		nodes = append(nodes, n)
 	}
-	for _, t := range r.view.Machines[silent].Tasks {
+	return nodes
+}
+
+// replaceable tells whether all replicas of a silent machine have room on other nodes.
+// If not, it is kept for as long as its lease may run: a machine that is cut off goes on
+// serving, a new one takes its time to boot, and the cloud may have none.
+func (r *Renter) replaceable(silent *ledger.Machine, nodes []*place.Node) bool {
+	before := map[*place.Node]place.Resources{}
+	defer func() { // the next silent machine is judged for itself
+		for n, used := range before {
+			n.Used = used
+		}
+	}()
+	for _, t := range silent.Tasks {
 		j := r.view.Jobs[t.Job]
 		if j == nil || !j.Active() || !j.Spec.Service() {
 			continue
 		}
 		zones := place.ZonesOf(r.view, t.Job)
-		zones[r.view.Machines[silent].Zone]--
-		n := place.Pick(j.Spec, zones, place.Offers{}, nodes)
-		if n == nil {
+		zones[silent.Zone]--
+		need := place.RequestOf(j.Spec)
+		i := slices.IndexFunc(nodes, func(n *place.Node) bool { return n.CanTake(j.Spec, need, zones) })
+		if i < 0 {
 			return false
 		}
-		n.Used = n.Used.Plus(place.RequestOf(j.Spec), 1)
+		n := nodes[i]
+		if _, changed := before[n]; !changed {
+			before[n] = n.Used
+		}
+		n.Used = n.Used.Plus(need, 1)
 	}
 	return true
 }
