Overload: late timers put planning off and turn submissions away with a time to come back

Now: users get turns at the rate at which jobs are accepted (Retry-After up to 30 s); a gauge of late timers puts planning off for up to four passes, then the search for places that other work holds, and turns submissions away at once when it is far behind. Health checks, reports, cancellations and the election go on. Go's memory limit is 0.6 of the process's in place of 0.5. A round is put together apart from its commit, with one constructor and a benchmark.

--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -21,6 +21,7 @@
 	"lynxledge/internal/election"
 	"lynxledge/internal/ledger"
 	"lynxledge/internal/mesh"
+	"lynxledge/internal/overload"
 	"lynxledge/internal/place"
 	"lynxledge/internal/rent"
 	"lynxledge/internal/reports"
@@ -30,7 +31,7 @@
 
 // memoryShare is the part of the memory limit at which Go collects harder;
 // the rest is for what its heap doesn't count.
-const memoryShare = 0.5
+const memoryShare = 0.6
 
 func run(cfg *config.Config) error {
 	logLevel()
@@ -118,6 +119,7 @@
 	report := config.Secs(p.Workers.ReportS)
 	chunk := ledger.ChunkTasks(p.State.ValueKB)
 	cfg.Rates = &config.Rates{}
+	cfg.Load = overload.Start(ctx, report)
 	slog.Info("starting", "member", cfg.Name, "zone", cfg.Zone, "boot", boot)
 
 	led := ledger.Start(ctx, to.state, ledger.Options{
--- a/internal/apiserver/server.go
+++ b/internal/apiserver/server.go
@@ -44,6 +44,7 @@
 	reports *reports.Reports
 	peer    Peer
 	pace    *rate.Limiter // of accepted jobs
+	turns   turnList      // of users whose submissions were refused
 	stale   time.Duration // a view older than this is not worth a commit
 
 	view  *ledger.View
--- a/internal/apiserver/submit.go
+++ b/internal/apiserver/submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,6 +14,7 @@
 	"lynxledge/internal/actor"
 	"lynxledge/internal/config"
 	"lynxledge/internal/ledger"
+	"lynxledge/internal/overload"
 	"lynxledge/internal/place"
 	"lynxledge/wire"
 )
@@ -34,6 +36,10 @@
 }
 
 func (f *Server) submit(w http.ResponseWriter, r *http.Request) {
+	if f.cfg.Load.Level() >= overload.Overloaded {
+		f.refuseSubmission(w, http.StatusServiceUnavailable, "overloaded")
+		return
+	}
 	b, ok := body(w, r)
 	if !ok {
 		return
@@ -81,6 +87,13 @@
 	f.accept(ctx, w, r, job, b)
 }
 
+// refuseSubmission tells a user at once to come back, and when there will be a turn.
+func (f *Server) refuseSubmission(w http.ResponseWriter, status int, why string) {
+	wait := f.turns.next(time.Now(), float64(acceptRate(f.cfg)))
+	w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
+	refuse(w, status, why)
+}
+
 func (f *Server) known(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, body []byte) {
 	l, err := f.current(ctx, id)
 	if err != nil || !l.known {
@@ -169,8 +182,7 @@
 	// when to come back.
 	f.pace.SetLimit(acceptRate(f.cfg))
 	if !f.pace.Allow() {
-		w.Header().Set("Retry-After", "1")
-		refuse(w, http.StatusTooManyRequests, "too many submissions at once")
+		f.refuseSubmission(w, http.StatusTooManyRequests, "too many submissions at once")
 		return
 	}
 	out, ok := f.commit(ctx, ledger.Commit{
--- /dev/null
+++ b/internal/apiserver/turns.go
@@ -0,0 +1,35 @@
+package apiserver
+
+import (
+	"sync"
+	"time"
+)
+
+// The shortest and the longest time after which a user is told to come back. The protocol
+// has users heed no longer one.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+)
+
+// turnList spreads users who were refused over the time that it takes to serve them.
+// Told to come back in a second, all of them would do so again and again, and each
+// refusal takes processor time that serving them needs.
+type turnList struct {
+	mu   sync.Mutex
+	last time.Time // turn that was given last
+}
+
+// next is the time until the turn of one more user, where so many are served a second.
+func (t *turnList) next(now time.Time, perSecond float64) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.last.Before(now) {
+		t.last = now
+	}
+	t.last = t.last.Add(time.Duration(float64(time.Second) / perSecond))
+	if latest := now.Add(maxRetryAfter); t.last.After(latest) {
+		t.last = latest
+	}
+	return max(minRetryAfter, t.last.Sub(now))
+}
--- /dev/null
+++ b/internal/apiserver/turns_test.go
@@ -0,0 +1,35 @@
+package apiserver
+
+import (
+	"testing"
+	"time"
+)
+
+// Users who come at once are told to come back one after another, as fast as they can be
+// served; later ones are not kept waiting for turns that have passed.
+func TestTurnsAreSpread(t *testing.T) {
+	const perSecond = 8
+	var turns turnList
+	now := time.Now()
+	inSecond := map[int]int{}
+	for range 100 {
+		wait := turns.next(now, perSecond)
+		if wait < minRetryAfter || wait > maxRetryAfter {
+			t.Fatalf("told to wait %v", wait)
+		}
+		inSecond[int(wait/time.Second)]++
+	}
+	for second, users := range inSecond {
+		if users > 2*perSecond { // the first second's have to wait for the second one
+			t.Errorf("%d users told to come back in second %d", users, second)
+		}
+	}
+	for range 1000 {
+		if wait := turns.next(now, perSecond); wait > maxRetryAfter {
+			t.Fatalf("told to wait %v", wait)
+		}
+	}
+	if wait := turns.next(now.Add(time.Hour), perSecond); wait != minRetryAfter {
+		t.Errorf("told to wait %v when nobody else does", wait)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/BurntSushi/toml"
+
+	"lynxledge/internal/overload"
 )
 
 // Peer is another controller.
@@ -156,6 +158,9 @@
 
 	// Rates is what this process knows of the rates in force; nil: as set.
 	Rates *Rates `toml:"-"`
+
+	// Load tells whether this process gets the processor time that it needs; nil: it does.
+	Load *overload.Gauge `toml:"-"`
 }
 
 // WriteRPS is the state service's rate of writes as far as it is known now.
--- /dev/null
+++ b/internal/overload/overload_test.go
@@ -0,0 +1,35 @@
+package overload
+
+import (
+	"testing"
+	"time"
+)
+
+// The level follows the latest timers at once upwards, and downwards only after a while.
+func TestLevels(t *testing.T) {
+	const report = 8 * time.Second
+	late := func(part float64) time.Duration { return time.Duration(part * float64(report)) }
+	g := &Gauge{report: report}
+	expect := func(want Level, after string) {
+		t.Helper()
+		if got := g.Level(); got != want {
+			t.Fatalf("level %d after %s, want %d", got, after, want)
+		}
+	}
+	g.observe(late(behindShare / 2))
+	expect(Normal, "timers in time")
+	g.observe(late(behindShare * 1.1))
+	expect(Behind, "a late timer")
+	g.observe(late(overloadedShare * 1.1))
+	expect(Overloaded, "a very late timer")
+	for range calmLooks {
+		g.observe(0)
+	}
+	expect(Overloaded, "a short calm")
+	g.observe(0)
+	expect(Normal, "a long calm")
+	var none *Gauge
+	if none.Level() != Normal {
+		t.Error("no gauge: not at normal")
+	}
+}
--- /dev/null
+++ b/internal/place/bench_test.go
@@ -0,0 +1,151 @@
+package place
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"lynxledge/internal/config"
+	"lynxledge/internal/ledger"
+	"lynxledge/wire"
+)
+
+// Sizes at which costs are measured: the smaller and the larger grown deployment, and what
+// the service has to hold.
+var benchFleets = []int{250, 1830, 4000}
+
+const (
+	benchGroupSize  = 40 // machines of a group
+	machinesPerJob  = 30
+	benchRoundLimit = 4 // writes, as the rounds of a busy day have
+)
+
+// busyPlacer is a placer without its actors, for a fleet whose machines all hold a task,
+// and a queue that grows with the fleet.
+func busyPlacer(machines int) *Placer {
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	cfg := &config.Config{Ops: config.DefaultOps()}
+	cfg.Params.Workers = config.Workers{ReportS: 8, LeaseS: 44, CancelS: 74}
+	cfg.Params.State = config.State{ValueKB: 4, TxnOps: 8, RPS: 200, WriteRPS: 20}
+	cfg.Params.Teams = []config.Team{{Name: "red"}}
+	p := &Placer{
+		cfg:                 cfg,
+		boot:                1,
+		rng:                 rand.New(rand.NewPCG(1, 1)),
+		pace:                rate.NewLimiter(rate.Inf, 8),
+		othersWrites:        writeMeter{window: 8 * time.Second},
+		view:                ledger.NewRunningView(ledger.ChunkTasks(4)),
+		types:               map[string]*wire.MachineType{"s": {Name: "s", CPUs: 4, MemoryGB: 32, Zones: []string{"a"}}},
+		offers:              Offers{"a": 1},
+		active:              map[string]*ledger.Job{},
+		runs:                NewEstimates(),
+		low:                 map[string]int{},
+		images:              map[string][]image{},
+		failed:              map[string]*failure{},
+		shaky:               map[string]time.Time{},
+		yields:              map[string]time.Time{},
+		nodes:               map[string]*Node{},
+		pools:               map[pool]poolStock{},
+		starts:              map[string]*Node{},
+		tally:               Usage{},
+		observations:        map[string]map[string]*pendingObservation{},
+		completeSince:       map[string]time.Time{},
+		largeRecords:        map[string]bool{},
+		fullRecords:         map[string]bool{},
+		cancelledDependents: map[string]*ledger.Job{},
+		scheduled:           true, // rounds are begun by hand
+	}
+	at := time.Now().UnixMilli()
+	changes := []ledger.Change{{Kind: ledger.KindAssignment, Name: "red", Rec: &ledger.Assignment{Member: "n0", Boot: 1}}}
+	jobs := machines/machinesPerJob + 1
+	for i := range jobs {
+		id := fmt.Sprintf("req-%06d", i)
+		due := 100 + float64(i)
+		spec := &wire.Job{
+			ID: id, Class: "c", Team: "red", Shape: wire.ShapeArray, Rank: wire.RankNormal, Tasks: 80,
+			CPUs: 4, MemoryGB: 29, Image: "img", Spot: true, EstimateS: 15, DeadlineS: &due,
+		}
+		changes = append(changes, ledger.Change{Kind: ledger.KindJob, Name: id, Rec: &ledger.Job{Spec: spec, Tasks: 80, At: at}})
+	}
+	for first := 0; first < machines; first += benchGroupSize {
+		g := &ledger.Group{Name: fmt.Sprintf("g%05d", first), Type: "s", Zone: "a", Spot: true, At: at}
+		for i := first; i < min(first+benchGroupSize, machines); i++ {
+			task := ledger.BoundTask{Job: fmt.Sprintf("req-%06d", i%jobs), N: i / jobs, Attempt: 1}
+			g.Binds = append(g.Binds, &ledger.Machine{
+				Name: fmt.Sprintf("i-%06d", i), Group: g.Name, Type: "s", Zone: "a", Spot: true, Addr: "10.0.0.1:9", Session: 1, Token: 9,
+				Tasks: []ledger.BoundTask{task},
+			})
+		}
+		changes = append(changes, ledger.Change{Kind: ledger.KindBind, Name: g.Name, Rec: g})
+	}
+	p.apply(ledger.Delta{Epoch: 1, Fresh: time.Now(), Changes: changes})
+	return p
+}
+
+// endOn reports the tasks of some machines of a group as done.
+func (p *Placer) endOn(group string, machines int, now time.Time) {
+	for _, b := range p.view.Groups[group].Binds[:machines] {
+		report := &wire.Report{Machine: b.Name, Session: 1, Seq: 1, Token: 9}
+		for i := range b.Tasks {
+			report.Tasks = append(report.Tasks, wire.TaskReport{Task: b.Tasks[i].Name(), Attempt: b.Tasks[i].Attempt, State: wire.TaskExited, Why: wire.WhyDone})
+		}
+		p.file(group, b.Name, &pendingObservation{Observation{Report: report}, now, 1})
+	}
+}
+
+// benchRound puts one round together: in each of four groups a quarter of the machines
+// have ended their tasks, and get others.
+func (p *Placer) benchRound() *round {
+	now := time.Now()
+	for i := range benchRoundLimit {
+		p.endOn(fmt.Sprintf("g%05d", i*benchGroupSize), benchGroupSize/4, now)
+	}
+	r := p.assemble(now, benchRoundLimit)
+	for _, d := range r.drafts {
+		for _, b := range d.Binds {
+			p.renew(b.Name, p.view.Machines[b.Name])
+		}
+	}
+	return r
+}
+
+// BenchmarkRound is a placement round, up to its commit.
+func BenchmarkRound(b *testing.B) {
+	for _, machines := range benchFleets {
+		b.Run(fmt.Sprintf("machines=%d", machines), func(b *testing.B) {
+			p := busyPlacer(machines)
+			b.ReportAllocs()
+			for b.Loop() {
+				p.benchRound()
+			}
+		})
+	}
+}
+
+// What a round allocates follows the groups that it writes and the waiting jobs: sixteen
+// times the machines, with as many jobs, take no more than that.
+func TestAllocationsOfARound(t *testing.T) {
+	const fewJobs = 1000 / machinesPerJob
+	rounds := func(machines int) float64 {
+		p := busyPlacer(machines)
+		for id := range p.active {
+			if id >= fmt.Sprintf("req-%06d", fewJobs) {
+				delete(p.active, id)
+			}
+		}
+		// A quarter of the writes is left for groups with nothing to prove.
+		if placed := sum(p.benchRound().placed); placed != (benchRoundLimit-1)*benchGroupSize/4 {
+			t.Fatalf("%d tasks placed", placed)
+		}
+		return testing.AllocsPerRun(20, func() { p.benchRound() })
+	}
+	small, large := rounds(1000), rounds(16000)
+	if large > 1.2*small {
+		t.Errorf("%v allocations with 1,000 machines, %v with 16,000", small, large)
+	}
+}
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -2,60 +2,77 @@
 
 import (
 	"log/slog"
-	"maps"
 	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
 
 	"lynxledge/internal/ledger"
+	"lynxledge/internal/overload"
 	"lynxledge/wire"
 )
 
 // round takes what has come together and makes one commit of it.
 func (p *Placer) round() {
 	now := time.Now()
-	if now.Sub(p.fresh) > p.reportS(2) {
+	if now.Sub(p.fresh) > p.reportS(maxViewReports) {
 		return
 	}
-	mine := p.mine()
-	limit := p.cfg.Params.State.Ops()
-	p.pace.SetLimit(rate.Limit(p.writeRate(now)))
-	if ready := int(p.pace.TokensAt(now)); ready < limit {
-		// Full transactions cost less than many small ones; what waits longest
-		// waits no longer for it, since writes are what is short.
-		if ready < limit/2 && (len(p.observations) > 1 || len(p.completeSince) > 1) {
-			p.After(time.Duration(float64(limit/2-ready)/float64(p.pace.Limit())*float64(time.Second)), p.schedule)
-			return
-		}
-		limit = ready
-	}
-	if most := p.cfg.Params.State.Ops(); limit < most && len(p.largeRecords) > 0 && p.placesAll() {
-		p.After(time.Duration(float64(most-limit)/float64(p.pace.Limit())*float64(time.Second)), p.schedule) // a split takes a whole one
+	limit, wait := p.writesNow(now)
+	if wait > 0 {
+		p.After(wait, p.schedule)
 		return
 	}
-	if limit < 2 {
-		p.After(time.Duration(2/float64(p.pace.Limit())*float64(time.Second)), p.schedule)
-		return
+	p.commit(p.assemble(now, limit))
+}
+
+// maxViewReports is how old a view may be, in report intervals, to place by it.
+const maxViewReports = 2
+
+// minWrites is the least number of writes that a round is worth.
+const minWrites = 2
+
+// writesNow is how many writes a round may have now, or how long to wait for more.
+func (p *Placer) writesNow(now time.Time) (limit int, wait time.Duration) {
+	most := p.cfg.Params.State.Ops()
+	p.pace.SetLimit(rate.Limit(p.writeRate(now)))
+	timeFor := func(writes int) time.Duration {
+		return time.Duration(float64(writes) / float64(p.pace.Limit()) * float64(time.Second))
 	}
-	r := &round{
-		now: now, limit: limit, drafts: map[string]*draft{}, doneSets: map[string]*ledger.DoneChunk{}, ends: map[string]int{},
-		parts: map[string]int{}, cancellations: map[string]*ledger.Job{}, marks: map[string]int{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{}, tally: maps.Clone(p.tally),
-		starts: map[string][]wire.Order{}, stops: map[string][]wire.Order{}, rows: map[string]*ledger.Machine{}, judged: map[*Node]bool{},
+	limit = min(most, int(p.pace.TokensAt(now)))
+	switch {
+	case limit < most/2 && (len(p.observations) > 1 || len(p.completeSince) > 1):
+		// Full transactions cost less than many small ones; what waits longest
+		// waits no longer for it, since writes are what is short.
+		return 0, timeFor(most/2 - limit)
+	case limit < most && len(p.largeRecords) > 0 && p.placesAll():
+		return 0, timeFor(most - limit) // a split takes a whole one
+	case limit < minWrites:
+		return 0, timeFor(minWrites)
 	}
+	return limit, 0
+}
+
+// assemble decides what a round of at most so many writes changes.
+func (p *Placer) assemble(now time.Time, limit int) *round {
+	mine := p.mine()
+	places := len(mine) > 0
+	r := newRound(now, limit, p.tally)
 	p.openLarge(r)
-	p.endCompleteJobs(r, len(mine) > 0)
+	p.endCompleteJobs(r, places)
 	q := p.queue(mine, now)
-	p.takeNotes(r, len(mine) > 0, len(q) > 0)
+	p.takeNotes(r, places, len(q) > 0)
 	for job := range r.marks {
 		p.end(r, job)
 	}
-	p.endCancelledDependents(r, len(mine) > 0)
-	r.searchShare = triesOf(q)
+	p.endCancelledDependents(r, places)
+	if p.cfg.Load.Level() < overload.Behind {
+		r.searchShare = triesOf(q)
+	}
 	for _, w := range q {
 		p.placeJob(r, w)
 	}
-	p.commit(r)
+	return r
 }
 
 // maxTries is how many of the waiting jobs of a priority look for places of other
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -111,10 +111,7 @@
 					n := endedOn(groupOf("b", 30), i)
 					p.file("b", n.Report.Machine, &pendingObservation{n, now.Add(-bWaits), 1})
 				}
-				r := &round{
-					now: now, limit: 1, drafts: map[string]*draft{}, doneSets: map[string]*ledger.DoneChunk{}, ends: map[string]int{}, marks: map[string]int{},
-					jobs: map[string]uint64{}, hands: map[string]uint64{}, tally: Usage{},
-				}
+				r := newRound(now, 1, Usage{})
 				p.takeNotes(r, true, false)
 				for g := range r.drafts {
 					first = append(first, g)
@@ -140,7 +137,7 @@
 	placing(t, map[string]int{"a": 30}, func(_ *ledger.Ledger, p *Placer) {
 		fold := func(fill func(d *draft)) (n int) {
 			in(p, func() {
-				r := &round{limit: 8, drafts: map[string]*draft{}, doneSets: map[string]*ledger.DoneChunk{}, ends: map[string]int{}, jobs: map[string]uint64{}}
+				r := newRound(time.Now(), 8, Usage{})
 				d := p.open(r, "a")
 				fill(d)
 				if d.Size() <= p.valueBytes(foldFill) {
@@ -182,7 +179,7 @@
 				for m, b := range p.view.Machines {
 					p.renew(m, b)
 				}
-				r := &round{limit: 8, drafts: map[string]*draft{}, hands: map[string]uint64{}}
+				r := newRound(time.Now(), 8, Usage{})
 				p.open(r, "a")
 				p.open(r, "b")
 				var c ledger.Commit
@@ -234,10 +231,8 @@
 				if want := min(1, float64(maxTries)/float64(size.jobs)); share != want {
 					t.Errorf("%v of %d jobs look, not %v", share, size.jobs, want)
 				}
-				r := &round{
-					now: time.Now(), limit: 8, drafts: map[string]*draft{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{},
-					tally: Usage{}, judged: map[*Node]bool{}, searchShare: map[wire.Priority]float64{wire.RankProd: 1},
-				}
+				r := newRound(time.Now(), 8, Usage{})
+				r.searchShare = map[wire.Priority]float64{wire.RankProd: 1}
 				p.placeJob(r, q[0])
 				if n := len(r.judged); n != maxSample {
 					t.Errorf("%d of %d machines looked at for one job", n, size.machines)
@@ -430,11 +425,8 @@
 				p.view.Jobs["req-000001"].Spec.EstimateS = 0.1 // leaves the cluster to it soon
 				p.cfg.Params.Objectives = []config.Objective{{Kind: "guarantee", WithinS: 5}}
 				p.view.Assignments["red"] = &ledger.Assignment{Member: "n0", Boot: p.boot}
-				r := &round{
-					now: now, limit: 8, drafts: map[string]*draft{}, jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{},
-					tally: Usage{}, judged: map[*Node]bool{}, searchShare: map[wire.Priority]float64{wire.RankHigh: 1}, starts: map[string][]wire.Order{},
-					stops: map[string][]wire.Order{}, rows: map[string]*ledger.Machine{},
-				}
+				r := newRound(now, 8, Usage{})
+				r.searchShare = map[wire.Priority]float64{wire.RankHigh: 1}
 				for _, w := range p.queue(p.mine(), now) {
 					if w.id == "req-000002" {
 						p.placeJob(r, w)
@@ -469,7 +461,7 @@
 				p.view.Assignments["red"] = &ledger.Assignment{Member: "n0", Boot: p.boot}
 				p.view.Jobs["req-000001"].Spec.Shape = shape
 				n := p.nodes["i-a000"]
-				r := &round{now: time.Now(), limit: 8, drafts: map[string]*draft{}, stops: map[string][]wire.Order{}}
+				r := newRound(time.Now(), 8, Usage{})
 				n.Tasks[0].Spent = spent
 				p.stop(r, p.open(r, "a"), &Victims{Node: n, Tasks: []int{0}})
 				for _, w := range p.queue(p.mine(), r.now.Add(later)) {
@@ -500,10 +492,7 @@
 				n := endedOn(group, i)
 				p.file("a", n.Report.Machine, &pendingObservation{n, time.Now(), 1})
 			}
-			r := &round{
-				now: time.Now(), limit: 8, drafts: map[string]*draft{}, doneSets: map[string]*ledger.DoneChunk{}, ends: map[string]int{}, marks: map[string]int{},
-				jobs: map[string]uint64{}, hands: map[string]uint64{}, placed: map[string]int{}, tally: Usage{}, rows: map[string]*ledger.Machine{}, starts: map[string][]wire.Order{},
-			}
+			r := newRound(time.Now(), 8, Usage{})
 			if full := p.view.Groups["a"].Kept(); full < p.valueBytes(recordFill)*9/10 {
 				t.Errorf("%d bytes: the record has room anyhow", full)
 			}
--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"time"
 
 	"lynxledge/internal/ledger"
@@ -36,6 +37,28 @@
 	searchShare    map[wire.Priority]float64 // part of the jobs that may look for others' places
 }
 
+// newRound begins a round of at most so many writes. tally is what teams use before it.
+func newRound(now time.Time, limit int, tally Usage) *round {
+	return &round{
+		now:           now,
+		limit:         limit,
+		drafts:        map[string]*draft{},
+		doneSets:      map[string]*ledger.DoneChunk{},
+		ends:          map[string]int{},
+		parts:         map[string]int{},
+		cancellations: map[string]*ledger.Job{},
+		marks:         map[string]int{},
+		jobs:          map[string]uint64{},
+		hands:         map[string]uint64{},
+		placed:        map[string]int{},
+		tally:         maps.Clone(tally),
+		starts:        map[string][]wire.Order{},
+		stops:         map[string][]wire.Order{},
+		rows:          map[string]*ledger.Machine{},
+		judged:        map[*Node]bool{},
+	}
+}
+
 type draft struct {
 	*ledger.Draft
 	size int // of the record, at most
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -12,6 +12,7 @@
 	"lynxledge/internal/config"
 	"lynxledge/internal/election"
 	"lynxledge/internal/ledger"
+	"lynxledge/internal/overload"
 	"lynxledge/internal/place"
 	"lynxledge/internal/plan"
 	"lynxledge/wire"
@@ -69,6 +70,7 @@
 	mute       map[string]bool      // machines that answer probes, but let their leases run out
 	deleted    map[string]time.Time
 	listing    bool
+	planned    time.Time // when the last pass was made
 }
 
 // Start runs the actor; it acts only while this process leads.
@@ -193,9 +195,10 @@
 
 // decide plans and acts on the plan.
 func (r *Renter) decide() {
-	if !r.leads() || len(r.types) == 0 {
+	if !r.leads() || len(r.types) == 0 || r.planLater() {
 		return
 	}
+	r.planned = time.Now()
 	in := r.input()
 	p := plan.Make(in)
 	r.gauge(&in, &p)
@@ -210,6 +213,16 @@
 	}
 }
 
+// maxPassesSkipped bounds for how long planning waits for processor time.
+const maxPassesSkipped = 4
+
+// planLater tells whether planning should wait, because the processor has more urgent
+// work to do.
+func (r *Renter) planLater() bool {
+	longest := config.Secs(r.cfg.Ops.PassS * maxPassesSkipped)
+	return r.cfg.Load.Level() >= overload.Behind && time.Since(r.planned) < longest
+}
+
 // commit makes a change within the leader's part of the writes; reply runs in
 // the actor.
 func (r *Renter) commit(c ledger.Commit, reply func(ledger.Outcome)) {
