--- a/internal/fakes/pipes.go
+++ b/internal/fakes/pipes.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -173,7 +174,7 @@
 // between, and ends it.
 func (c *pipeConn) drain() {
 	defer c.Conn.Close()
-	if c.Conn.SetWriteDeadline(time.Now().Add(drainTime)) != nil || c.pipes.net.between(c.host, c.other) != nil {
+	if c.pipes.net.between(c.host, c.other) != nil {
 		return
 	}
 	for {
@@ -194,7 +195,8 @@
 	c.pipes.mu.Lock()
 	delete(c.pipes.conns, c)
 	c.pipes.mu.Unlock()
-	return c.Conn.SetReadDeadline(time.Now())
+	now := time.Now()
+	return errors.Join(c.Conn.SetReadDeadline(now), c.Conn.SetWriteDeadline(now.Add(drainTime)))
 }
 
 // abort ends the connection at once; what was written and not delivered is lost.
