--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -126,6 +126,7 @@
 		ChunkTasks: chunk, Hold: 5 * report, Gap: readPause(cfg, watchShare), Refresh: readPause(cfg, refreshShare),
 		MaxAge: report / 2, Backoff: report / 30, WritePause: config.Secs(1 / p.State.WriteRPS),
 		MaxValue: p.State.ValueBytes(), MaxChunk: int(p.State.ValueKB * 1024), Busy: cfg.Rates.Busy, TooLarge: cfg.Rates.Lower,
+		ManyJobs: manyJobs(p.Resources),
 	})
 	msh := mesh.Start(ctx, cfg, to.peers, led.Fresh)
 	var placer *place.Placer
@@ -153,6 +154,15 @@
 	return node{front, msh}
 }
 
+// jobMemoryShare is the part of the memory that jobs which are over may take before
+// operators are warned.
+const jobMemoryShare = 0.15
+
+// manyJobs is how many jobs that is.
+func manyJobs(r config.Resources) int {
+	return int(r.MemoryMB * (1 << 20) * jobMemoryShare / ledger.EndedJobBytes)
+}
+
 // Shares of the state service's rate that all controllers together use to
 // follow it, and to answer users.
 const (
--- a/internal/apiserver/bench_test.go
+++ b/internal/apiserver/bench_test.go
@@ -99,6 +99,26 @@
 	}
 }
 
+// BenchmarkReportWithEnds is a report whose four tasks have all ended, and what it proves.
+func BenchmarkReportWithEnds(b *testing.B) {
+	m := newReportingMachine(b, b.Context())
+	for i := range m.report.Tasks {
+		m.report.Tasks[i].State, m.report.Tasks[i].Why = wire.TaskExited, wire.WhyDone
+	}
+	handler := m.front.Handler()
+	b.ReportAllocs()
+	for b.Loop() {
+		b.StopTimer()
+		request := httptest.NewRequest(http.MethodPost, "/hello", bytes.NewReader(m.body()))
+		recorder := httptest.NewRecorder()
+		b.StartTimer()
+		handler.ServeHTTP(recorder, request)
+		if recorder.Code != http.StatusOK {
+			b.Fatal(recorder.Code, recorder.Body)
+		}
+	}
+}
+
 // BenchmarkReportOverTCP is the same with its connection, the client's part included.
 func BenchmarkReportOverTCP(b *testing.B) {
 	m := newReportingMachine(b, b.Context())
@@ -146,3 +166,22 @@
 		}
 	}
 }
+
+// maxReportAllocations is a fifth above what was measured, the test's own part included.
+const maxReportAllocations = 90
+
+// A report that says nothing new is what a controller answers most often.
+func TestAllocationsOfAReport(t *testing.T) {
+	m := newReportingMachine(t, t.Context())
+	handler := m.front.Handler()
+	allocations := testing.AllocsPerRun(100, func() {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/hello", bytes.NewReader(m.body())))
+		if recorder.Code != http.StatusOK {
+			t.Fatal(recorder.Code, recorder.Body)
+		}
+	})
+	if allocations > maxReportAllocations {
+		t.Errorf("%v allocations for a report", allocations)
+	}
+}
--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -123,3 +124,41 @@
 		t.Errorf("%v allocations for one changed row", allocations)
 	}
 }
+
+// maxEndedJobBytes is a fifth above what operators are told.
+const maxEndedJobBytes = EndedJobBytes * 6 / 5
+
+// Ended jobs are kept for ever: what the ledger and the API server hold for each is small,
+// and an actor that has no use for them holds nothing.
+func TestEndedJobsAreCompact(t *testing.T) {
+	const jobs = 100_000
+	heap := func() uint64 {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return stats.HeapAlloc
+	}
+	l := Start(t.Context(), nil, Options{ChunkTasks: ChunkTasks(4)})
+	server, placer := NewView(ChunkTasks(4)), NewRunningView(ChunkTasks(4))
+	l.Subscribe(func(d Delta) {
+		for _, c := range d.Changes {
+			server.Apply(c)
+			placer.Apply(c)
+		}
+	})
+	before := heap()
+	for i := range jobs {
+		raw := mustMarshal(&Job{State: wire.JobDone, Tasks: 40, At: 1790000010788, EndAt: 1790000020788})
+		event := wire.Event{Put: Key(KindJob, fmt.Sprintf("req-%06d", i)), Value: raw, Version: uint64(i + 1)}
+		l.events(&wire.Events{Revision: uint64(i + 1), Events: []wire.Event{event}}, time.Now())
+	}
+	each := (heap() - before) / jobs
+	t.Logf("%d bytes for each ended job", each)
+	if each > maxEndedJobBytes {
+		t.Errorf("%d bytes for each ended job", each)
+	}
+	if len(server.Jobs) != jobs || len(placer.Jobs) != 0 {
+		t.Errorf("%d and %d jobs known", len(server.Jobs), len(placer.Jobs))
+	}
+	runtime.KeepAlive(l)
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -39,8 +40,12 @@
 	MaxChunk   int             // of a done set's chunk, until the service refuses it
 	Busy       func(time.Time) // is told of writes refused for their rate
 	TooLarge   func()          // is told of a size that is refused
+	ManyJobs   int             // known jobs beyond which a warning is logged, once. 0: none is
 }
 
+// EndedJobBytes is what a controller holds for a job that is over, as measured.
+const EndedJobBytes = 210
+
 // Ledger is the actor that owns the watched view.
 type Ledger struct {
 	*actor.Actor
@@ -52,6 +57,7 @@
 	epoch  uint64
 	fresh  time.Time
 	loaded bool
+	warned bool              // of many jobs
 	dead   map[string]uint64 // keys deleted by own commits, until the watch passes them
 	chains *pipelines
 	subs   []func(Delta)
@@ -127,6 +133,7 @@
 			})
 		}
 	}
+	l.warnOfManyJobs()
 	fresh := l.fresh
 	l.freshAt.Store(&fresh)
 	d := Delta{Epoch: l.epoch, Fresh: l.fresh, Changes: news}
@@ -135,6 +142,16 @@
 	}
 }
 
+// warnOfManyJobs says once, long before it is too late, that the jobs that are kept for
+// ever take much of the memory.
+func (l *Ledger) warnOfManyJobs() {
+	if l.warned || l.opt.ManyJobs <= 0 || len(l.view.Jobs) <= l.opt.ManyJobs {
+		return
+	}
+	l.warned = true
+	slog.Warn("finished jobs take much of the memory", "jobs", len(l.view.Jobs), "bytes_each", EndedJobBytes)
+}
+
 // Refresh reads all changes up to now; reply runs in the ledger's actor once
 // a read begun after this call has been applied, or has failed. Requests that
 // come together share a read.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,10 +1,12 @@
 package ledger
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"maps"
 	"reflect"
 	"slices"
@@ -366,3 +368,22 @@
 		}
 	})
 }
+
+// Operators are warned once when jobs that are over begin to fill the memory.
+func TestWarningOfManyJobs(t *testing.T) {
+	var log bytes.Buffer
+	before := slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
+	defer slog.SetDefault(before)
+	l := Start(t.Context(), nil, Options{ChunkTasks: ChunkTasks(4), ManyJobs: 10})
+	for i := range 30 {
+		job := Change{Kind: KindJob, Name: fmt.Sprintf("req-%06d", i), Rec: &Job{State: wire.JobDone, Stamp: 1}, Stamp: 1}
+		l.publish([]Change{job})
+		if warned := strings.Contains(log.String(), "finished jobs"); warned != (i >= 10) {
+			t.Fatalf("%d jobs: warned %v", i+1, warned)
+		}
+	}
+	if n := strings.Count(log.String(), "finished jobs"); n != 1 {
+		t.Errorf("warned %d times", n)
+	}
+}
