Limits that bind below 4,000 machines: the cloud's list, planned tasks, queued messages

The list of 4,000 machines has nine pages: read in every pass it took most of three calls a second, and rentals waited behind it. It takes a quarter of the leader's calls at most. A job's tasks are planned on as many machines as there are, not on 1,000 places. 256 messages wait for a stream, not 64. Settings that are too small are named with the figure needed, sockets and the state service's rate among them.

--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -40,8 +40,8 @@
 	debug.SetMemoryLimit(int64(res.MemoryMB * memoryShare * (1 << 20)))
 	debug.SetGCPercent(800)
 
-	if small := res.Warnings(); len(small) > 0 {
-		slog.Warn("this machine looks small for a controller", "settings", strings.Join(small, " "), "cpu", res.CPU, "memory_mb", res.MemoryMB)
+	if small := cfg.Warnings(); len(small) > 0 {
+		slog.Warn("settings look too small for a controller", "settings", strings.Join(small, " "))
 	}
 
 	users, err := net.Listen("tcp4", cfg.Listen)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -112,17 +112,46 @@
 const (
 	smallCPU      = 0.02 // of a core
 	smallMemoryMB = 40.0
+	smallFDLimit  = 100 // sockets; with fewer, commands and reports wait for each other
 )
 
-// Warnings names the resources that look too small. They are no reason not to start: the
-// controller then does the best that it can.
+// Warnings names the settings that look too small, and what each should be at least.
+// They are no reason not to start: the controller then does the best that it can.
+func (c *Config) Warnings() []string {
+	small := c.Params.Resources.Warnings()
+	if needed := c.renewalRPS() / renewalShare; c.Params.State.ReadRPS() < needed {
+		small = append(small, fmt.Sprintf("params.state.rps<%.0f", math.Ceil(needed)))
+	}
+	return small
+}
+
+const (
+	// renewalsPerLease is how often a controller renews its membership lease in the
+	// lease's time.
+	renewalsPerLease = 3
+
+	// renewalShare is the part of the state service's requests that renewals may take.
+	// What is left after it, watches and users' reads is for transactions.
+	renewalShare = 0.25
+)
+
+// renewalRPS is how many requests a second all controllers renew their leases with.
+func (c *Config) renewalRPS() float64 {
+	lease := c.Params.Workers.ReportS * c.Ops.MemberLease
+	return float64(len(c.Peers)+1) * renewalsPerLease / lease
+}
+
+// Warnings names the resources that look too small.
 func (r Resources) Warnings() []string {
 	var small []string
 	if r.CPU < smallCPU {
-		small = append(small, "params.resources.cpu")
+		small = append(small, fmt.Sprintf("params.resources.cpu<%v", smallCPU))
 	}
 	if r.MemoryMB < smallMemoryMB {
-		small = append(small, "params.resources.memory_mb")
+		small = append(small, fmt.Sprintf("params.resources.memory_mb<%v", smallMemoryMB))
+	}
+	if r.FDLimit > 0 && r.FDLimit < smallFDLimit {
+		small = append(small, fmt.Sprintf("params.resources.fd_limit<%v", smallFDLimit))
 	}
 	return small
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -106,13 +106,22 @@
 		want      []string
 	}{
 		{Resources{CPU: 0.029, MemoryMB: 49}, nil},
-		{Resources{CPU: 0.001, MemoryMB: 49}, []string{"params.resources.cpu"}},
-		{Resources{CPU: 0.001, MemoryMB: 16}, []string{"params.resources.cpu", "params.resources.memory_mb"}},
+		{Resources{CPU: 0.001, MemoryMB: 49}, []string{"params.resources.cpu<0.02"}},
+		{Resources{CPU: 0.001, MemoryMB: 16}, []string{"params.resources.cpu<0.02", "params.resources.memory_mb<40"}},
+		{Resources{CPU: 0.029, MemoryMB: 49, FDLimit: 800}, nil},
+		{Resources{CPU: 0.029, MemoryMB: 49, FDLimit: 99}, []string{"params.resources.fd_limit<100"}},
 	} {
 		if got := c.resources.Warnings(); !slices.Equal(got, c.want) {
 			t.Errorf("%+v: %v, not %v", c.resources, got, c.want)
 		}
 	}
+	slow, err := Parse(strings.Replace(sound, "rps = 150.0", "rps = 2.0", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := slow.Warnings(), []string{"params.state.rps<4"}; !slices.Equal(got, want) {
+		t.Errorf("a state service that can't even renew leases: %v, not %v", got, want)
+	}
 	small := strings.NewReplacer("cpu = 0.1", "cpu = 0.001", "memory_mb = 70.0", "memory_mb = 1.0").Replace(sound)
 	if _, err := Parse(small); err != nil {
 		t.Errorf("a small machine is refused: %v", err)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -96,8 +96,9 @@
 // OnHeard sets the receiver of the workers that others hear.
 func (m *Mesh) OnHeard(f func([]string)) { m.onHeard.Store(&f) }
 
-// queued is how many messages wait for a stream; more are dropped.
-const queued = 64
+// queued is how many messages wait for a stream; more are dropped. It holds what some
+// thousand machines prove within a few seconds, in which a stream may stand still.
+const queued = 256
 
 // OnNote sets the receiver of what reports prove.
 func (m *Mesh) OnNote(f func(place.Observation)) { m.onNote.Store(&f) }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -309,8 +309,7 @@
 	if whole {
 		run = math.Inf(1)
 	}
-	// Beyond maxTried tasks the machines there count as full.
-	left := d.Count - p.onExisting(d, min(d.Count, maxTried), need, zones, run)
+	left := d.Count - p.onExisting(d, min(d.Count, p.maxTried()), need, zones, run)
 	fixed := !d.Job.Spread && !d.Job.OneZone // every task has the same choice
 	var pool Pool
 	var share float64
@@ -330,8 +329,15 @@
 	return 0
 }
 
+// Bounds of the tasks of one job that a pass puts on the machines there are. Beyond them
+// the machines count as full.
+const (
+	minTried        = 1000
+	triedPerMachine = 4
+)
+
 // maxTried bounds the work of a pass on one job.
-const maxTried = 1000
+func (p *pass) maxTried() int { return max(minTried, triedPerMachine*len(p.room)) }
 
 // allows tells whether one more task of a demand may be rented a machine of a pool.
 func (p *pass) allows(d Demand, pool Pool, zones place.Zones) bool {
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -70,6 +70,7 @@
 	mute       map[string]bool      // machines that answer probes, but let their leases run out
 	deleted    map[string]time.Time
 	listing    bool
+	listed     time.Time // when the cloud's list was asked for last
 	planned    time.Time // when the last pass was made
 }
 
--- a/internal/rent/rent_test.go
+++ b/internal/rent/rent_test.go
@@ -276,3 +276,21 @@
 		}
 	})
 }
+
+// Reading the list of a large fleet leaves most of the cloud's calls for rentals; that of a
+// small one is read in every pass.
+func TestListLeavesCallsForRentals(t *testing.T) {
+	for _, rps := range []float64{3, 10} {
+		cfg := &config.Config{Ops: config.DefaultOps()}
+		cfg.Params.Cloud.RPS = rps
+		r := &Renter{cfg: cfg}
+		if pause := r.listPause(250); pause > config.Secs(cfg.Ops.PassS) {
+			t.Errorf("at %v calls a second a list of one page is read every %v", rps, pause)
+		}
+		const pages = 9
+		calls := pages / r.listPause(4000).Seconds()
+		if most := rps * cfg.Ops.CloudShare / 3; calls > most {
+			t.Errorf("%.2f of %v calls a second go to the list", calls, rps)
+		}
+	}
+}
--- a/internal/rent/survey.go
+++ b/internal/rent/survey.go
@@ -10,12 +10,22 @@
 	"lynxledge/wire"
 )
 
+// listShare is the part of the leader's calls to the cloud that reading its list may
+// take: a fleet's list has many pages, and rentals wait behind them.
+const listShare = 0.25
+
+// listPause is the least time between two readings of a list of so many machines.
+func (r *Renter) listPause(machines int) time.Duration {
+	pages := machines/wire.MaxListPage + 1
+	return config.Secs(float64(pages) / (r.cfg.Params.Cloud.RPS * r.cfg.Ops.CloudShare * listShare))
+}
+
 // list reads the cloud's machines and deals with what is unexpected.
 func (r *Renter) list() {
-	if r.listing {
+	if r.listing || time.Since(r.listed) < r.listPause(len(r.view.Machines)) {
 		return
 	}
-	r.listing = true
+	r.listing, r.listed = true, time.Now()
 	go func() {
 		hosts, err := r.cloud.List(r.ctx)
 		r.Send(func() {
