--- a/internal/place/repack.go
+++ b/internal/place/repack.go
@@ -59,7 +59,7 @@
 			slog.Debug("group split", "group", group, "into", part.Name, "machines", len(part.Binds))
 			part.AddTo(c) // the record that it comes from follows with the other drafts
 		}
-		maps.Copy(r.hands, p.view.AssignmentStamps())
+		maps.Copy(r.assignments, p.view.AssignmentStamps())
 		delete(p.fullRecords, group)
 	}
 	return true
@@ -106,7 +106,7 @@
 	if !merged {
 		return
 	}
-	maps.Copy(r.hands, p.view.AssignmentStamps())
+	maps.Copy(r.assignments, p.view.AssignmentStamps())
 }
 
 // grown tells whether a group's record will hardly grow: all its machines have
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -184,7 +184,7 @@
 				p.open(r, "b")
 				var c ledger.Commit
 				p.merge(r, &c)
-				if out = len(r.drafts) == 1; out && (len(c.Delete) != 1 || len(r.drafts["a"].Binds) != 6 || r.hands["red"] != p.view.Assignments["red"].Stamp) {
+				if out = len(r.drafts) == 1; out && (len(c.Delete) != 1 || len(r.drafts["a"].Binds) != 6 || r.assignments["red"] != p.view.Assignments["red"].Stamp) {
 					t.Errorf("%+v, %d machines", c, len(r.drafts["a"].Binds))
 				}
 			})
--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -21,7 +21,7 @@
 	cancellations  map[string]*ledger.Job       // jobs whose cancellation is stored
 	marks          map[string]int               // jobs: tasks marked here
 	jobs           map[string]uint64            // guarded jobs
-	hands          map[string]uint64
+	assignments    map[string]uint64
 	placed         map[string]int
 	tally          Usage
 	guaranteed     map[string]bool // jobs within their teams' guarantees
@@ -49,7 +49,7 @@
 		cancellations: map[string]*ledger.Job{},
 		marks:         map[string]int{},
 		jobs:          map[string]uint64{},
-		hands:         map[string]uint64{},
+		assignments:   map[string]uint64{},
 		placed:        map[string]int{},
 		tally:         maps.Clone(tally),
 		starts:        map[string][]wire.Order{},
@@ -104,7 +104,7 @@
 		n += 4*len(f.Bits)/3 + ledger.WriteBytes
 	}
 	n += ledger.WriteBytes * (len(r.ends) + len(r.cancellations)*(1+fallBytes/ledger.WriteBytes))
-	return n + ledger.WriteBytes*(len(r.jobs)+len(r.hands))
+	return n + ledger.WriteBytes*(len(r.jobs)+len(r.assignments))
 }
 
 // fallBytes is the most that the record of a cancelled job takes.
@@ -157,7 +157,7 @@
 		return
 	}
 	p.merge(r, &c)
-	c.GuardAssignments(r.hands)
+	c.GuardAssignments(r.assignments)
 	for id, stamp := range r.jobs {
 		c.Guards = append(c.Guards, wire.Guard{Key: ledger.Key(ledger.KindJob, id), Version: stamp})
 	}
