--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -22,13 +22,13 @@
 }
 
 type waiting struct {
-	id       string
-	job      *ledger.Job
-	hand     uint64 // stamp of the team's assignment
-	late     int    // how many of its deadlines it is not to keep
-	deadline float64
-	claim    claimant
-	most     int // tasks to place at most
+	id         string
+	job        *ledger.Job
+	assignment uint64 // stamp of the team's assignment
+	late       int    // how many of its deadlines it is not to keep
+	deadline   float64
+	claim      claimant
+	most       int // tasks to place at most
 }
 
 // queue orders the jobs that have tasks to place: by priority, then earliest
@@ -57,7 +57,7 @@
 		if now.Before(p.yields[id]) {
 			continue
 		}
-		w := waiting{id: id, job: j, hand: mine[j.Spec.Team].Stamp, most: left}
+		w := waiting{id: id, job: j, assignment: mine[j.Spec.Team].Stamp, most: left}
 		run := p.runs.RunS(j.Spec)
 		age := float64(now.UnixMilli()-j.RunnableSince()) / 1000
 		if age > starved && left == j.Tasks {
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -255,7 +255,7 @@
 	rec.Tasks = append(rec.Tasks, t)
 	d.size += ledger.TaskBytes(w.id)
 	r.jobs[w.id] = w.job.Stamp
-	r.assignments[w.job.Spec.Team] = w.hand
+	r.assignments[w.job.Spec.Team] = w.assignment
 	r.placed[w.id]++
 	r.rows[node.Name] = rec
 	r.starts[node.Name] = append(r.starts[node.Name], wire.Order{Op: wire.OpStart, Task: t.Name(), Attempt: t.Attempt})
