--- a/internal/place/proofs.go
+++ b/internal/place/proofs.go
@@ -153,7 +153,7 @@
 		}
 		next.Tasks = slices.DeleteFunc(next.Tasks, func(b ledger.BoundTask) bool { return b.Job == g.Job && b.N == g.N })
 		d.Gone = append(d.Gone, g)
-		r.gone++
+		r.departed++
 		r.departureBytes += ledger.GoneBytes(&g)
 		if j := p.view.Jobs[g.Job]; j != nil && j.Spec != nil {
 			r.tally[j.Spec.Team] = r.tally[j.Spec.Team].Plus(RequestOf(j.Spec), -1)
--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -27,7 +27,7 @@
 	guaranteed     map[string]bool // jobs within their teams' guarantees
 	starts         map[string][]wire.Order
 	stops          map[string][]wire.Order
-	gone           int                        // tasks that left
+	departed       int                        // tasks that left
 	departureBytes int                        // bytes of what the records say of them
 	rows           map[string]*ledger.Machine // of the machines with starts
 	log            []func()
@@ -209,7 +209,7 @@
 		"jobs_done", len(r.ends),
 		"cancellations", len(r.cancellations),
 		"placed", sum(r.placed),
-		"departed", r.gone,
+		"departed", r.departed,
 		"groups_waiting", len(p.observations))
 	p.ledger.Commit(c, func(out ledger.Outcome) {
 		p.Send(func() {
