--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -67,7 +67,7 @@
 	}
 	p.endCancelledDependents(r, places)
 	if p.cfg.Load.Level() < overload.Behind {
-		r.searchShare = triesOf(q)
+		r.searchShare = searchShares(q)
 	}
 	for _, w := range q {
 		p.placeJob(r, w)
@@ -80,8 +80,8 @@
 // none is free.
 const maxTries = 64
 
-// triesOf is the part of the waiting jobs of each priority that may look.
-func triesOf(q []waiting) map[wire.Priority]float64 {
+// searchShares is the part of the waiting jobs of each priority that may look.
+func searchShares(q []waiting) map[wire.Priority]float64 {
 	out := map[wire.Priority]float64{}
 	for i := range q {
 		out[q[i].job.Spec.Rank]++
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -227,7 +227,7 @@
 			in(p, func() {
 				p.view.Assignments["red"] = &ledger.Assignment{Member: "n0", Boot: p.boot}
 				q := p.queue(p.mine(), time.Now())
-				share := triesOf(q)[wire.RankProd]
+				share := searchShares(q)[wire.RankProd]
 				if want := min(1, float64(maxTries)/float64(size.jobs)); share != want {
 					t.Errorf("%v of %d jobs look, not %v", share, size.jobs, want)
 				}
