--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -75,10 +75,10 @@
 	return r
 }
 
-// maxTries is how many of the waiting jobs of a priority look for places of other
+// maxSearches is how many of the waiting jobs of a priority look for places of other
 // work in a round, drawn anew each time: looking costs far more than to find that
 // none is free.
-const maxTries = 64
+const maxSearches = 64
 
 // searchShares is the part of the waiting jobs of each priority that may look.
 func searchShares(q []waiting) map[wire.Priority]float64 {
@@ -87,7 +87,7 @@
 		out[q[i].job.Spec.Rank]++
 	}
 	for rank, n := range out {
-		out[rank] = min(1, maxTries/n)
+		out[rank] = min(1, maxSearches/n)
 	}
 	return out
 }
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -228,7 +228,7 @@
 				p.view.Assignments["red"] = &ledger.Assignment{Member: "n0", Boot: p.boot}
 				q := p.queue(p.mine(), time.Now())
 				share := searchShares(q)[wire.RankProd]
-				if want := min(1, float64(maxTries)/float64(size.jobs)); share != want {
+				if want := min(1, float64(maxSearches)/float64(size.jobs)); share != want {
 					t.Errorf("%v of %d jobs look, not %v", share, size.jobs, want)
 				}
 				r := newRound(time.Now(), 8, Usage{})
