--- a/internal/place/bench_test.go
+++ b/internal/place/bench_test.go
@@ -47,7 +47,7 @@
 		low:                 map[string]int{},
 		images:              map[string][]image{},
 		failed:              map[string]*failure{},
-		shaky:               map[string]time.Time{},
+		unreliable:          map[string]time.Time{},
 		yields:              map[string]time.Time{},
 		nodes:               map[string]*Node{},
 		pools:               map[pool]poolStock{},
--- a/internal/place/failures.go
+++ b/internal/place/failures.go
@@ -46,7 +46,7 @@
 	}
 	f.machines[machine] = true
 	if why == wire.WhyNoRoom || why == wire.WhyBusy {
-		p.shaky[machine] = now.Add(p.reportS(1))
+		p.unreliable[machine] = now.Add(p.reportS(1))
 		return
 	}
 	f.count++
--- a/internal/place/launch.go
+++ b/internal/place/launch.go
@@ -33,7 +33,7 @@
 			rep, err := p.worker.Do(p.ctx, rec.Addr, cmd)
 			if err != nil {
 				slog.Debug("commands unanswered", "machine", m, "err", err)
-				p.Send(func() { p.shaky[m] = time.Now().Add(p.reportS(1)) })
+				p.Send(func() { p.unreliable[m] = time.Now().Add(p.reportS(1)) })
 				return
 			}
 			p.report(rep)
--- a/internal/place/nodes.go
+++ b/internal/place/nodes.go
@@ -29,7 +29,7 @@
 	p.renew(c.Machine, c.New)
 	if c.New == nil {
 		delete(p.images, c.Machine)
-		delete(p.shaky, c.Machine)
+		delete(p.unreliable, c.Machine)
 		return
 	}
 	if c.Old != nil && c.Old.Group != c.New.Group {
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -38,19 +38,19 @@
 	othersWrites writeMeter
 	ownWrites    int // writes committed here that the ledger has not told of yet
 
-	view   *ledger.View
-	epoch  uint64
-	fresh  time.Time
-	types  map[string]*wire.MachineType
-	offers Offers
-	active map[string]*ledger.Job
-	claims claimList // of the active jobs
-	runs   *Estimates
-	low    map[string]int       // lowest task of a job that may not be done
-	images map[string][]image   // machine: images fetched there, newest first
-	failed map[string]*failure  // job: what went wrong lately
-	shaky  map[string]time.Time // machine: not to be used until
-	yields map[string]time.Time // array: not to be placed until, since a task of it gave way as soon as it was
+	view       *ledger.View
+	epoch      uint64
+	fresh      time.Time
+	types      map[string]*wire.MachineType
+	offers     Offers
+	active     map[string]*ledger.Job
+	claims     claimList // of the active jobs
+	runs       *Estimates
+	low        map[string]int       // lowest task of a job that may not be done
+	images     map[string][]image   // machine: images fetched there, newest first
+	failed     map[string]*failure  // job: what went wrong lately
+	unreliable map[string]time.Time // machine: not to be used until
+	yields     map[string]time.Time // array: not to be placed until, since a task of it gave way as soon as it was
 
 	nodes  map[string]*Node
 	all    []*Node
@@ -79,7 +79,7 @@
 		pace:  rate.NewLimiter(rate.Limit(s.WriteRPS*cfg.Ops.StateShare), s.Ops()),
 		view:  ledger.NewRunningView(ledger.ChunkTasks(s.ValueKB)),
 		types: map[string]*wire.MachineType{}, active: map[string]*ledger.Job{}, runs: NewEstimates(), low: map[string]int{},
-		images: map[string][]image{}, failed: map[string]*failure{}, shaky: map[string]time.Time{}, yields: map[string]time.Time{},
+		images: map[string][]image{}, failed: map[string]*failure{}, unreliable: map[string]time.Time{}, yields: map[string]time.Time{},
 		nodes: map[string]*Node{}, pools: map[pool]poolStock{}, starts: map[string]*Node{}, tally: Usage{},
 		observations: map[string]map[string]*pendingObservation{}, completeSince: map[string]time.Time{}, largeRecords: map[string]bool{}, fullRecords: map[string]bool{}, cancelledDependents: map[string]*ledger.Job{},
 	}
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -22,7 +22,7 @@
 	} else {
 		from = p.all
 	}
-	list := slices.DeleteFunc(Sample(from, p.rng), func(n *Node) bool { return !n.Open || r.now.Before(p.shaky[n.Name]) })
+	list := slices.DeleteFunc(Sample(from, p.rng), func(n *Node) bool { return !n.Open || r.now.Before(p.unreliable[n.Name]) })
 	p.judge(r, list)
 	return list
 }
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -97,7 +97,7 @@
 func (p *Placer) candidates(r *round, j *wire.Job) []*Node {
 	var list []*Node
 	usable := func(n *Node) bool {
-		return n != nil && n.HasRoom() && !r.now.Before(p.shaky[n.Name]) && Allowed(j, n.Type.Name, n.Zone, n.Spot) &&
+		return n != nil && n.HasRoom() && !r.now.Before(p.unreliable[n.Name]) && Allowed(j, n.Type.Name, n.Zone, n.Spot) &&
 			n.Used.Plus(RequestOf(j), 1).Fits(Capacity(n.Type))
 	}
 	if r.nearOf != len(r.drafts) {
