--- a/internal/place/bench_test.go
+++ b/internal/place/bench_test.go
@@ -48,7 +48,7 @@
 		images:              map[string][]image{},
 		failed:              map[string]*failure{},
 		unreliable:          map[string]time.Time{},
-		yields:              map[string]time.Time{},
+		gaveWay:             map[string]time.Time{},
 		nodes:               map[string]*Node{},
 		pools:               map[pool]poolStock{},
 		starts:              map[string]*Node{},
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -50,7 +50,7 @@
 	images     map[string][]image   // machine: images fetched there, newest first
 	failed     map[string]*failure  // job: what went wrong lately
 	unreliable map[string]time.Time // machine: not to be used until
-	yields     map[string]time.Time // array: not to be placed until, since a task of it gave way as soon as it was
+	gaveWay    map[string]time.Time // array: not to be placed until, since a task of it gave way as soon as it was
 
 	nodes  map[string]*Node
 	all    []*Node
@@ -79,7 +79,7 @@
 		pace:  rate.NewLimiter(rate.Limit(s.WriteRPS*cfg.Ops.StateShare), s.Ops()),
 		view:  ledger.NewRunningView(ledger.ChunkTasks(s.ValueKB)),
 		types: map[string]*wire.MachineType{}, active: map[string]*ledger.Job{}, runs: NewEstimates(), low: map[string]int{},
-		images: map[string][]image{}, failed: map[string]*failure{}, unreliable: map[string]time.Time{}, yields: map[string]time.Time{},
+		images: map[string][]image{}, failed: map[string]*failure{}, unreliable: map[string]time.Time{}, gaveWay: map[string]time.Time{},
 		nodes: map[string]*Node{}, pools: map[pool]poolStock{}, starts: map[string]*Node{}, tally: Usage{},
 		observations: map[string]map[string]*pendingObservation{}, completeSince: map[string]time.Time{}, largeRecords: map[string]bool{}, fullRecords: map[string]bool{}, cancelledDependents: map[string]*ledger.Job{},
 	}
@@ -166,7 +166,7 @@
 				p.claims.outdated = true
 				delete(p.low, c.Name)
 				delete(p.failed, c.Name)
-				delete(p.yields, c.Name)
+				delete(p.gaveWay, c.Name)
 				delete(p.completeSince, c.Name)
 				p.runs.Forget(c.Name)
 			}
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -61,7 +61,7 @@
 		// What gives way as soon as it is placed would take the next free place, and give
 		// way again: each time two writes and a launch for nothing.
 		if !task.Job.Service() && task.Spent < p.cfg.Params.Workers.ReportS {
-			p.yields[t.Job] = r.now.Add(p.reportS(1))
+			p.gaveWay[t.Job] = r.now.Add(p.reportS(1))
 		}
 		d.size += stopBytes
 		grace := 0.0
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -54,7 +54,7 @@
 		if f := p.failed[id]; f != nil && now.Before(f.until) {
 			continue
 		}
-		if now.Before(p.yields[id]) {
+		if now.Before(p.gaveWay[id]) {
 			continue
 		}
 		w := waiting{id: id, job: j, assignment: mine[j.Spec.Team].Stamp, most: left}
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -467,7 +467,7 @@
 				for _, w := range p.queue(p.mine(), r.now.Add(later)) {
 					out = out || w.id == "req-000001"
 				}
-				clear(p.yields)
+				clear(p.gaveWay)
 				p.undo([]string{"i-a000"})
 			})
 			return out
