--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -132,7 +132,7 @@
 	var placer *place.Placer
 	rep := reports.Start(ctx, cfg, boot, led, reports.Links{
 		Elsewhere: msh.Elsewhere, Alone: msh.Alone, Tell: msh.Tell,
-		Note: func(n place.Observation, wait time.Duration) { placer.Note(n, wait) },
+		Note: func(n place.Observation, wait time.Duration) { placer.Observe(n, wait) },
 	})
 	placer = place.Start(ctx, cfg, boot, led, to.workers, rep.Handle)
 	front := apiserver.Start(ctx, cfg, led, rep, msh)
@@ -140,7 +140,7 @@
 	rep.Heard(msh.Heard)
 	rep.Heard(renter.Heard)
 	msh.OnHeard(renter.Heard)
-	msh.OnNote(func(n place.Observation) { placer.Note(n, 0) })
+	msh.OnNote(func(n place.Observation) { placer.Observe(n, 0) })
 	election.Start(ctx, to.state, led, election.Options{
 		Name: cfg.Name, Boot: boot, TTL: time.Duration(float64(report) * ops.MemberLease),
 		Teams: teams(p.Teams), MaxOps: p.State.Ops(), Chunk: chunk,
--- a/internal/place/observations.go
+++ b/internal/place/observations.go
@@ -21,9 +21,9 @@
 	frees int       // tasks that it shows ended: places that stand empty until it is written
 }
 
-// Note takes what a report proves; it is written at once if the teams are
+// Observe takes what a report proves; it is written at once if the teams are
 // handed to this process, else after wait unless another process has.
-func (p *Placer) Note(n Observation, wait time.Duration) {
+func (p *Placer) Observe(n Observation, wait time.Duration) {
 	p.Post(func() {
 		rec := p.view.Machines[n.Report.Machine]
 		if rec == nil {
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -82,7 +82,7 @@
 			in(p, func() { out = len(p.view.Machines["i-a000"].Tasks) == 0 })
 			return out
 		}
-		p.Note(endedOn(groupOf("a", 1), 0), 16*time.Second)
+		p.Observe(endedOn(groupOf("a", 1), 0), 16*time.Second)
 		other := groupOf("b", 1)
 		other.Gone = []ledger.Departure{{Machine: "i-b000", Job: "req-000001", N: 7, Why: wire.WhyDone}}
 		for range 12 { // 36 s
@@ -283,8 +283,8 @@
 		first, second := endedOn(groupOf("a", 1), 0), endedOn(groupOf("a", 1), 0)
 		first.RanS = map[string]float64{"req-000001/0": 4}
 		second.Report.Seq, second.RanS = 2, map[string]float64{"req-000001/1": 5}
-		p.Note(first, time.Minute)
-		p.Note(second, time.Minute)
+		p.Observe(first, time.Minute)
+		p.Observe(second, time.Minute)
 		in(p, func() {
 			n := p.observations["a"]["i-a000"]
 			if n == nil || len(n.RanS) != 2 {
@@ -544,7 +544,7 @@
 				}
 				report.Tasks = append(report.Tasks, task)
 			}
-			p.Note(Observation{Report: report}, 0)
+			p.Observe(Observation{Report: report}, 0)
 		}
 		time.Sleep(10 * time.Second)
 		in(p, func() {
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -33,7 +33,7 @@
 	placer := place.Start(ctx, cfg, 1, l, nil, func(*wire.Report) {})
 	b.reports = Start(ctx, cfg, 1, l, Links{
 		Elsewhere: func() string { return b.elsewhere }, Alone: func() bool { return b.alone },
-		Note: placer.Note, Tell: func(string, place.Observation) bool { return false },
+		Note: placer.Observe, Tell: func(string, place.Observation) bool { return false },
 	})
 	l.Run()
 	time.Sleep(time.Second)
