--- a/internal/place/proofs.go
+++ b/internal/place/proofs.go
@@ -51,12 +51,12 @@
 	r.log = append(r.log, func() { slog.Debug("job done", "job", job, "age_s", int(time.Since(at).Seconds())) })
 }
 
-// takeNotes applies what reports prove, a few groups at a time. Those go first
+// takeObservations applies what reports prove, a few groups at a time. Those go first
 // whose empty places have stood empty longest, all taken together: a group of one
 // machine then takes a write for one task seldom, where writes are short, and one
 // in which many tasks end often. Nothing waits for more than a report. When jobs
 // wait for room, some writes are left for groups that have it.
-func (p *Placer) takeNotes(r *round, placing, queued bool) {
+func (p *Placer) takeObservations(r *round, placing, queued bool) {
 	// A writer that is slow is not dead: others that wrote for it made its guards
 	// fail, and it slower yet.
 	idle := r.now.Sub(p.proved) > p.reportS(1)
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -61,7 +61,7 @@
 	p.openLarge(r)
 	p.endCompleteJobs(r, places)
 	q := p.queue(mine, now)
-	p.takeNotes(r, places, len(q) > 0)
+	p.takeObservations(r, places, len(q) > 0)
 	for job := range r.marks {
 		p.end(r, job)
 	}
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -112,7 +112,7 @@
 					p.file("b", n.Report.Machine, &pendingObservation{n, now.Add(-bWaits), 1})
 				}
 				r := newRound(now, 1, Usage{})
-				p.takeNotes(r, true, false)
+				p.takeObservations(r, true, false)
 				for g := range r.drafts {
 					first = append(first, g)
 				}
@@ -496,7 +496,7 @@
 			if full := p.view.Groups["a"].Kept(); full < p.valueBytes(recordFill)*9/10 {
 				t.Errorf("%d bytes: the record has room anyhow", full)
 			}
-			p.takeNotes(r, true, false)
+			p.takeObservations(r, true, false)
 			w := waiting{id: "req-000001", job: p.view.Jobs["req-000001"]}
 			bound := 0
 			for i, b := range group.Binds {
