--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -103,12 +103,12 @@
 	for _, f := range r.doneSets {
 		n += 4*len(f.Bits)/3 + ledger.WriteBytes
 	}
-	n += ledger.WriteBytes * (len(r.ends) + len(r.cancellations)*(1+fallBytes/ledger.WriteBytes))
+	n += ledger.WriteBytes * (len(r.ends) + len(r.cancellations)*(1+cancelledJobBytes/ledger.WriteBytes))
 	return n + ledger.WriteBytes*(len(r.jobs)+len(r.assignments))
 }
 
-// fallBytes is the most that the record of a cancelled job takes.
-const fallBytes = 1024
+// cancelledJobBytes is the most that the record of a cancelled job takes.
+const cancelledJobBytes = 1024
 
 // bodyBytes is the part of a body's limit that a commit may fill.
 const bodyBytes = wire.MaxBody * 9 / 10
