--- a/internal/apiserver/bench_test.go
+++ b/internal/apiserver/bench_test.go
@@ -62,7 +62,7 @@
 	}
 	l.Commit(ledger.Commit{Puts: []ledger.Put{
 		{Key: ledger.Key(ledger.KindJob, "req-000001"), Rec: &ledger.Job{Tasks: 80, At: time.Now().UnixMilli(), Spec: spec}},
-		{Key: ledger.Key(ledger.KindBind, "g"), Rec: &ledger.Group{Type: "s", Zone: "a", Binds: []*ledger.Machine{machine}}},
+		{Key: ledger.Key(ledger.KindBind, "g"), Rec: &ledger.Group{Type: "s", Zone: "a", Machines: []*ledger.Machine{machine}}},
 	}}, func(out ledger.Outcome) { loaded <- out })
 	if out := <-loaded; out != ledger.Committed {
 		tb.Fatal("not committed: ", out)
--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -29,7 +29,7 @@
 		for n := range benchTasks {
 			b.Tasks = append(b.Tasks, BoundTask{Job: fmt.Sprintf("req-%06d", (first+i)%40), N: n, Attempt: Token(2) + 10})
 		}
-		g.Binds = append(g.Binds, b)
+		g.Machines = append(g.Machines, b)
 	}
 	g.Marks = map[string][]int{"req-000001": {3, 4, 5, 9}, "req-000002": {70, 71, 90}}
 	return g
@@ -56,7 +56,7 @@
 	l.events(events, time.Now())
 	g := benchGroup("g007", 7*benchMachines)
 	records[0] = mustMarshal(g)
-	row := g.Binds[5]
+	row := g.Machines[5]
 	row.Token++
 	row.Tasks[0] = BoundTask{Job: "req-000039", N: 77, Attempt: row.Token}
 	records[1] = mustMarshal(g)
@@ -104,7 +104,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		d := l.view.Draft("g007")
-		row := d.Edit(d.Binds[5].Name)
+		row := d.Edit(d.Machines[5].Name)
 		row.Tasks[0].Attempt = row.Token
 		mustMarshal(&d.Group)
 	}
--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -26,7 +26,7 @@
 // Draft begins the next record of a group.
 func (v *View) Draft(name string) *Draft {
 	d := &Draft{Group: *v.Groups[name], term: v.CurrentTerm(), fresh: map[string]*Machine{}}
-	d.Binds = slices.Clone(d.Binds)
+	d.Machines = slices.Clone(d.Machines)
 	d.Gone = nil
 	d.Marks = make(map[string][]int, len(d.Marks))
 	for job, ns := range v.Groups[name].Marks {
@@ -46,15 +46,15 @@
 	if !ok {
 		return nil
 	}
-	b := d.Binds[i].next(d.term)
-	d.Binds[i], d.fresh[machine] = b, b
+	b := d.Machines[i].next(d.term)
+	d.Machines[i], d.fresh[machine] = b, b
 	return b
 }
 
 // Drop takes a machine out that is gone.
 func (d *Draft) Drop(machine string) {
 	if i, ok := d.index(machine); ok {
-		d.Binds = slices.Delete(d.Binds, i, i+1)
+		d.Machines = slices.Delete(d.Machines, i, i+1)
 	}
 }
 
@@ -71,18 +71,18 @@
 // Settled tells whether all machines of the group have been up: from then on
 // nothing but the billing of idle ones asks when they were rented.
 func (d *Draft) Settled() bool {
-	return !slices.ContainsFunc(d.Binds, func(b *Machine) bool { return b.Session == 0 })
+	return !slices.ContainsFunc(d.Machines, func(b *Machine) bool { return b.Session == 0 })
 }
 
 // Absorb takes over everything of another group of the same pool, whose record
 // is to go with the same commit. Every group costs writes of its own, and what
 // is rented in place of lost machines would stay in groups of one.
 func (d *Draft) Absorb(o *Draft) {
-	for _, b := range o.Binds {
+	for _, b := range o.Machines {
 		n := *b
 		n.row = "" // leaves out what the other group's rows had in common
 		i, _ := d.index(n.Name)
-		d.Binds = slices.Insert(d.Binds, i, &n)
+		d.Machines = slices.Insert(d.Machines, i, &n)
 	}
 	for job, ns := range o.Marks {
 		for _, n := range ns {
@@ -102,7 +102,7 @@
 }
 
 func (d *Draft) index(machine string) (int, bool) {
-	return slices.BinarySearchFunc(d.Binds, machine, func(b *Machine, m string) int { return strings.Compare(b.Name, m) })
+	return slices.BinarySearchFunc(d.Machines, machine, func(b *Machine, m string) int { return strings.Compare(b.Name, m) })
 }
 
 // Fit drops what is only worth knowing until the record is within limit
@@ -117,7 +117,7 @@
 }
 
 // Empty tells whether nothing is left that has to be kept.
-func (d *Draft) Empty() bool { return len(d.Binds) == 0 && len(d.Marks) == 0 }
+func (d *Draft) Empty() bool { return len(d.Machines) == 0 && len(d.Marks) == 0 }
 
 // Remove makes the removal of an absorbed group part of a commit.
 func (d *Draft) Remove(c *Commit) {
--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -8,12 +8,12 @@
 // all that starts and ends on them at about the same time, so the rate of
 // writes doesn't grow with the number of tasks.
 type Group struct {
-	Name  string
-	Type  string
-	Zone  string
-	Spot  bool
-	At    int64      // time of day of the rental, ms
-	Binds []*Machine // by name
+	Name     string
+	Type     string
+	Zone     string
+	Spot     bool
+	At       int64      // time of day of the rental, ms
+	Machines []*Machine // by name
 	// Marks are completed tasks of jobs that are not over, until they are
 	// folded into the jobs' done sets.
 	Marks map[string][]int
@@ -96,7 +96,7 @@
 func NewGroup(name, typ, zone string, spot bool, at int64, machines []string, token uint64) *Group {
 	g := &Group{Name: name, Type: typ, Zone: zone, Spot: spot, At: at}
 	for _, m := range machines {
-		g.Binds = append(g.Binds, &Machine{Name: m, Token: token})
+		g.Machines = append(g.Machines, &Machine{Name: m, Token: token})
 	}
 	return g
 }
--- a/internal/ledger/grouprecord.go
+++ b/internal/ledger/grouprecord.go
@@ -91,8 +91,8 @@
 // rows encodes the group's rows. Those that stand in the record it was read
 // from are taken over if they leave the same out.
 func (g *Group) rows(a affix) []string {
-	rows := make([]string, len(g.Binds))
-	for i, b := range g.Binds {
+	rows := make([]string, len(g.Machines))
+	for i, b := range g.Machines {
 		if rows[i] = b.row; b.row == "" || a != g.same {
 			rows[i] = b.encode(a)
 		}
@@ -102,11 +102,11 @@
 
 // Kept is at most what the record will take once nothing has left lately.
 func (g *Group) Kept() int {
-	a := common(g.Binds)
+	a := common(g.Machines)
 	n := groupBytes + len(g.Type) + len(g.Zone) + len(a.Name) + len(a.Addr) + len(a.Port)
 	for i, row := range g.rows(a) {
 		n += len(row) + rowSeparatorBytes
-		if g.Binds[i].Addr == "" {
+		if g.Machines[i].Addr == "" {
 			n += addrBytes
 		}
 	}
@@ -134,7 +134,7 @@
 
 // MarshalJSON writes the record.
 func (g *Group) MarshalJSON() ([]byte, error) {
-	a := common(g.Binds)
+	a := common(g.Machines)
 	r := groupRecord{Layout: layout, Same: a, Type: g.Type, Zone: g.Zone, Spot: g.Spot, At: g.At, Rows: g.rows(a)}
 	if len(g.Marks) > 0 {
 		r.Done = make(map[string]string, len(g.Marks))
@@ -158,7 +158,7 @@
 	if r.Layout != layout {
 		return nil, ErrLayout
 	}
-	g := &Group{Name: name, Type: r.Type, Zone: r.Zone, Spot: r.Spot, At: r.At, Stamp: stamp, Binds: make([]*Machine, len(r.Rows)), same: r.Same}
+	g := &Group{Name: name, Type: r.Type, Zone: r.Zone, Spot: r.Spot, At: r.At, Stamp: stamp, Machines: make([]*Machine, len(r.Rows)), same: r.Same}
 	if old != nil && (old.same != g.same || old.Type != g.Type || old.Zone != g.Zone || old.Spot != g.Spot || old.At != g.At) {
 		old = nil
 	}
@@ -166,11 +166,11 @@
 	for i, row := range r.Rows {
 		machine, _, _ := strings.Cut(row, " ")
 		machine = r.Same.Name + machine
-		for old != nil && k < len(old.Binds) && old.Binds[k].Name < machine {
+		for old != nil && k < len(old.Machines) && old.Machines[k].Name < machine {
 			k++
 		}
-		if old != nil && k < len(old.Binds) && old.Binds[k].row == row {
-			g.Binds[i] = old.Binds[k]
+		if old != nil && k < len(old.Machines) && old.Machines[k].row == row {
+			g.Machines[i] = old.Machines[k]
 			continue
 		}
 		b, err := decodeRow(row, r.Same)
@@ -178,7 +178,7 @@
 			return nil, err
 		}
 		b.Group, b.Type, b.Zone, b.Spot, b.At = name, g.Type, g.Zone, g.Spot, g.At
-		g.Binds[i] = b
+		g.Machines[i] = b
 	}
 	if len(r.Done) > 0 {
 		g.Marks = make(map[string][]int, len(r.Done))
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -41,7 +41,7 @@
 			}
 			b.Tasks = append(b.Tasks, task)
 		}
-		g.Binds = append(g.Binds, b)
+		g.Machines = append(g.Machines, b)
 	}
 	for range rapid.IntRange(0, 3).Draw(t, "jobs") {
 		ns := rapid.SliceOfNDistinct(rapid.IntRange(0, wire.MaxTasks-1), 1, 9, rapid.ID).Draw(t, "marks")
@@ -75,11 +75,11 @@
 			t.Fatal(err)
 		}
 		g.Stamp, g.same = 9, got.same
-		for i, b := range g.Binds {
-			b.row = got.Binds[i].row
+		for i, b := range g.Machines {
+			b.row = got.Machines[i].row
 		}
-		if len(g.Binds) == 0 {
-			g.Binds, got.Binds = nil, nil
+		if len(g.Machines) == 0 {
+			g.Machines, got.Machines = nil, nil
 		}
 		if !reflect.DeepEqual(got, g) {
 			t.Fatalf("got %+v, want %+v", got, g)
@@ -88,8 +88,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		for i, b := range again.Binds {
-			if b != got.Binds[i] {
+		for i, b := range again.Machines {
+			if b != got.Machines[i] {
 				t.Fatalf("row of %s was not taken over", b.Name)
 			}
 		}
@@ -108,7 +108,7 @@
 		}
 		v.Apply(Change{Kind: KindBind, Name: "g", Rec: g})
 		d := v.Draft("g")
-		for _, b := range g.Binds {
+		for _, b := range g.Machines {
 			if rapid.Bool().Draw(t, "edit") {
 				if n := d.Edit(b.Name); n.Token <= b.Token || len(n.Tasks) != len(b.Tasks) {
 					t.Fatalf("%+v after %+v", n, b)
@@ -188,8 +188,8 @@
 func TestOwnDeleteIsNotUndone(t *testing.T) {
 	l := &Ledger{view: NewView(8), epoch: 8, dead: map[string]uint64{Key(KindBind, "m2"): 11}}
 	task := BoundTask{Job: "req-000001", Attempt: 1}
-	l.view.Apply(Change{Key: Key(KindBind, "m1"), Kind: KindBind, Name: "m1", Rec: &Group{Name: "m1", Binds: []*Machine{{Name: "m1", Tasks: []BoundTask{task}}}, Stamp: 12}, Stamp: 12})
-	old, _ := json.Marshal(&Group{Binds: []*Machine{{Name: "m2", Tasks: []BoundTask{task}}}})
+	l.view.Apply(Change{Key: Key(KindBind, "m1"), Kind: KindBind, Name: "m1", Rec: &Group{Name: "m1", Machines: []*Machine{{Name: "m1", Tasks: []BoundTask{task}}}, Stamp: 12}, Stamp: 12})
+	old, _ := json.Marshal(&Group{Machines: []*Machine{{Name: "m2", Tasks: []BoundTask{task}}}})
 	l.Subscribe(func(d Delta) {
 		for _, c := range d.Changes {
 			if c.Rec != nil {
@@ -237,12 +237,12 @@
 			if rapid.Bool().Draw(t, "busy") {
 				b.Tasks = []BoundTask{{Job: "req-000001", N: i, Attempt: b.Token}}
 			}
-			g.Binds = append(g.Binds, b)
+			g.Machines = append(g.Machines, b)
 		}
 		groups["a"].Marks = map[string][]int{"req-000001": {100, 102}}
 		groups["b"].Marks = map[string][]int{"req-000001": {101, 102}}
 		for name, g := range groups {
-			if len(g.Binds) > 0 {
+			if len(g.Machines) > 0 {
 				v.Apply(put(g, 2))
 			} else {
 				delete(groups, name)
--- a/internal/ledger/split.go
+++ b/internal/ledger/split.go
@@ -61,11 +61,11 @@
 // splitToFill moves what is beyond fill bytes to new groups, none of them larger than
 // that, unless a single machine is. Machines and marks stay as they are.
 func (d *Draft) splitToFill(fill int) []*Draft {
-	machines, marks := d.Binds, d.Marks
+	machines, marks := d.Machines, d.Marks
 	p := newPartition(d, fill)
-	d.Binds, d.Marks = nil, map[string][]int{}
+	d.Machines, d.Marks = nil, map[string][]int{}
 
-	whole := Group{Binds: machines, same: d.same}
+	whole := Group{Machines: machines, same: d.same}
 	for i, row := range whole.rows(common(machines)) {
 		size := len(row) + rowSeparatorBytes
 		if machines[i].Addr == "" {
@@ -74,7 +74,7 @@
 		part := p.firstWithRoom(size)
 		moved := *machines[i]
 		moved.row = "" // it leaves out what the other group's rows had in common
-		part.Binds = append(part.Binds, &moved)
+		part.Machines = append(part.Machines, &moved)
 	}
 	for job, tasks := range marks {
 		for some := range slices.Chunk(tasks, marksPerPart) {
@@ -97,12 +97,12 @@
 
 func newPartition(d *Draft, fill int) *partition {
 	shared := 0 // what all rows have in common stands once in each record
-	for _, machine := range d.Binds {
+	for _, machine := range d.Machines {
 		shared = max(shared, len(machine.Name)+len(machine.Addr))
 	}
 	from := d.Name
-	if len(d.Binds) > 0 {
-		from = d.Binds[0].Name
+	if len(d.Machines) > 0 {
+		from = d.Machines[0].Name
 	}
 	empty := groupBytes + len(d.Type) + len(d.Zone) + shared
 	return &partition{group: d, from: from, fill: fill, empty: empty, parts: []*Draft{d}, sizes: []int{empty}}
--- a/internal/ledger/upgrade_test.go
+++ b/internal/ledger/upgrade_test.go
@@ -42,7 +42,7 @@
 			t.Errorf("%s: was %s, is %s", key, was, is)
 		}
 		if g, ok := c.Rec.(*Group); ok { // and rows made anew
-			for _, b := range g.Binds {
+			for _, b := range g.Machines {
 				b.row = ""
 			}
 			if again, _ := json.Marshal(g); string(again) != string(is) {
@@ -86,10 +86,10 @@
 				t.Fatalf("%s twice", part.Name)
 			}
 			names[part.Name] = true
-			if len(all) > 1 && len(part.Binds)+len(part.Marks) == 0 {
+			if len(all) > 1 && len(part.Machines)+len(part.Marks) == 0 {
 				t.Fatal("an empty record")
 			}
-			lots := len(part.Binds)
+			lots := len(part.Machines)
 			for job, ns := range part.Marks {
 				lots += (len(ns) + marksPerPart - 1) / marksPerPart
 				marks[job] = append(marks[job], ns...)
@@ -102,25 +102,25 @@
 				t.Fatal(err)
 			}
 			got, err := decodeGroup(part.Name, raw, 9, nil)
-			if err != nil || !slices.IsSortedFunc(got.Binds, func(a, b *Machine) int { return cmpNames(a, b) }) {
+			if err != nil || !slices.IsSortedFunc(got.Machines, func(a, b *Machine) int { return cmpNames(a, b) }) {
 				t.Fatalf("%s: %v", raw, err)
 			}
-			for _, b := range got.Binds {
+			for _, b := range got.Machines {
 				if rows[b.Name] != nil {
 					t.Fatalf("%s twice", b.Name)
 				}
 				rows[b.Name] = b
 			}
 		}
-		for _, b := range g.Binds {
+		for _, b := range g.Machines {
 			got := rows[b.Name]
 			if got == nil || got.Token != b.Token || got.Session != b.Session || got.Addr != b.Addr || got.Drain != b.Drain || got.Suspected != b.Suspected ||
 				!slices.Equal(got.Tasks, b.Tasks) {
 				t.Fatalf("%+v became %+v", b, got)
 			}
 		}
-		if len(rows) != len(g.Binds) || len(marks) != len(g.Marks) {
-			t.Fatalf("%d machines of %d, marks of %d jobs of %d", len(rows), len(g.Binds), len(marks), len(g.Marks))
+		if len(rows) != len(g.Machines) || len(marks) != len(g.Marks) {
+			t.Fatalf("%d machines of %d, marks of %d jobs of %d", len(rows), len(g.Machines), len(marks), len(g.Marks))
 		}
 		for job, ns := range g.Marks {
 			got := slices.Sorted(slices.Values(marks[job]))
@@ -169,7 +169,7 @@
 		}
 		whole := NewGroup("g", "t", "z", false, 5, nil, 0)
 		for i := range 9 {
-			whole.Binds = append(whole.Binds, &Machine{Name: fmt.Sprintf("i-%06d", i), Addr: "x:1", Session: 1, Token: 8, Tasks: []BoundTask{{Job: "req-000001", N: i, Attempt: 7}}})
+			whole.Machines = append(whole.Machines, &Machine{Name: fmt.Sprintf("i-%06d", i), Addr: "x:1", Session: 1, Token: 8, Tasks: []BoundTask{{Job: "req-000001", N: i, Attempt: 7}}})
 		}
 		l.publish([]Change{change(whole, 4)})
 		d := l.view.Draft("g")
@@ -185,7 +185,7 @@
 		}
 		l.order(chs)
 		l.publish(chs)
-		if len(actor.Machines) != 9 || len(actor.Bound["req-000001"]) != 9 || len(actor.Groups["g"].Binds) == 9 {
+		if len(actor.Machines) != 9 || len(actor.Bound["req-000001"]) != 9 || len(actor.Groups["g"].Machines) == 9 {
 			t.Errorf("reversed %v: %d machines, %d tasks", reversed, len(actor.Machines), len(actor.Bound["req-000001"]))
 		}
 	}
--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -165,10 +165,10 @@
 	var out []MachineChange
 	var was, is []*Machine
 	if old != nil {
-		was = old.Binds
+		was = old.Machines
 	}
 	if g != nil {
-		is = g.Binds
+		is = g.Machines
 	}
 	for len(was) > 0 || len(is) > 0 {
 		switch {
--- a/internal/place/bench_test.go
+++ b/internal/place/bench_test.go
@@ -76,7 +76,7 @@
 		g := &ledger.Group{Name: fmt.Sprintf("g%05d", first), Type: "s", Zone: "a", Spot: true, At: at}
 		for i := first; i < min(first+benchGroupSize, machines); i++ {
 			task := ledger.BoundTask{Job: fmt.Sprintf("req-%06d", i%jobs), N: i / jobs, Attempt: 1}
-			g.Binds = append(g.Binds, &ledger.Machine{
+			g.Machines = append(g.Machines, &ledger.Machine{
 				Name: fmt.Sprintf("i-%06d", i), Group: g.Name, Type: "s", Zone: "a", Spot: true, Addr: "10.0.0.1:9", Session: 1, Token: 9,
 				Tasks: []ledger.BoundTask{task},
 			})
@@ -89,7 +89,7 @@
 
 // endOn reports the tasks of some machines of a group as done.
 func (p *Placer) endOn(group string, machines int, now time.Time) {
-	for _, b := range p.view.Groups[group].Binds[:machines] {
+	for _, b := range p.view.Groups[group].Machines[:machines] {
 		report := &wire.Report{Machine: b.Name, Session: 1, Seq: 1, Token: 9}
 		for i := range b.Tasks {
 			report.Tasks = append(report.Tasks, wire.TaskReport{Task: b.Tasks[i].Name(), Attempt: b.Tasks[i].Attempt, State: wire.TaskExited, Why: wire.WhyDone})
@@ -107,7 +107,7 @@
 	}
 	r := p.assemble(now, benchRoundLimit)
 	for _, d := range r.drafts {
-		for _, b := range d.Binds {
+		for _, b := range d.Machines {
 			p.renew(b.Name, p.view.Machines[b.Name])
 		}
 	}
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -12,7 +12,7 @@
 	var from []*Node
 	if r.full() {
 		for _, d := range r.drafts {
-			for _, b := range d.Binds {
+			for _, b := range d.Machines {
 				if n := p.nodes[b.Name]; n != nil {
 					from = append(from, n)
 				}
--- a/internal/place/repack.go
+++ b/internal/place/repack.go
@@ -26,7 +26,7 @@
 	for _, groups := range []map[string]bool{p.largeRecords, p.fullRecords} {
 		for group := range groups {
 			g := p.view.Groups[group]
-			if g == nil || len(g.Binds)+len(g.Marks) < 2 {
+			if g == nil || len(g.Machines)+len(g.Marks) < 2 {
 				delete(groups, group)
 				continue
 			}
@@ -56,7 +56,7 @@
 			return false
 		}
 		for _, part := range parts {
-			slog.Debug("group split", "group", group, "into", part.Name, "machines", len(part.Binds))
+			slog.Debug("group split", "group", group, "into", part.Name, "machines", len(part.Machines))
 			part.AddTo(c) // the record that it comes from follows with the other drafts
 		}
 		maps.Copy(r.assignments, p.view.AssignmentStamps())
@@ -77,7 +77,7 @@
 	}
 	names := slices.Collect(maps.Keys(r.drafts))
 	slices.SortFunc(names, func(a, b string) int { // the largest take over
-		if d := len(r.drafts[b].Binds) - len(r.drafts[a].Binds); d != 0 {
+		if d := len(r.drafts[b].Machines) - len(r.drafts[a].Machines); d != 0 {
 			return d
 		}
 		return strings.Compare(a, b)
@@ -112,7 +112,7 @@
 // grown tells whether a group's record will hardly grow: all its machines have
 // been up, and none has room.
 func (p *Placer) grown(d *draft) bool {
-	return d.Settled() && !slices.ContainsFunc(d.Binds, func(b *ledger.Machine) bool {
+	return d.Settled() && !slices.ContainsFunc(d.Machines, func(b *ledger.Machine) bool {
 		n := p.nodes[b.Name]
 		return n != nil && n.HasRoom()
 	})
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -103,7 +103,7 @@
 	if r.nearOf != len(r.drafts) {
 		r.near, r.nearOf = r.near[:0], len(r.drafts)
 		for g, d := range r.drafts {
-			for _, b := range d.Binds {
+			for _, b := range d.Machines {
 				if n := p.nodes[b.Name]; n != nil && n.Group == g && n.HasRoom() {
 					r.near = append(r.near, n)
 				}
@@ -237,7 +237,7 @@
 	}
 	if d.size+ledger.TaskBytes(w.id) > p.valueBytes(fill) || r.bytes() > bodyBytes {
 		node.Open = false // in this round
-		if len(d.Binds) > 1 && d.Kept() > p.valueBytes(crowdedAt) {
+		if len(d.Machines) > 1 && d.Kept() > p.valueBytes(crowdedAt) {
 			p.fullRecords[d.Name] = true // full before its machines are
 		}
 		slog.Debug("record is full", "group", node.Group)
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -50,7 +50,7 @@
 func groupOf(name string, machines int) *ledger.Group {
 	g := &ledger.Group{Name: name, Type: "s", Zone: "a"}
 	for i := range machines {
-		g.Binds = append(g.Binds, &ledger.Machine{
+		g.Machines = append(g.Machines, &ledger.Machine{
 			Name: fmt.Sprintf("i-%s%03d", name, i), Addr: "x:1", Session: 1, Token: 9,
 			Tasks: []ledger.BoundTask{{Job: "req-000001", N: 100*int(name[0]-'a') + i, Attempt: 1}},
 		})
@@ -60,7 +60,7 @@
 
 // endedOn is a report that a machine's one task has completed.
 func endedOn(g *ledger.Group, i int) Observation {
-	b := g.Binds[i]
+	b := g.Machines[i]
 	return Observation{Report: &wire.Report{Machine: b.Name, Addr: "x:1", Type: "s", Zone: "a", Session: 1, Seq: 1, Token: 9, Tasks: []wire.TaskReport{
 		{Task: b.Tasks[0].Name(), Attempt: 1, State: wire.TaskExited, Why: wire.WhyDone},
 	}}}
@@ -184,8 +184,8 @@
 				p.open(r, "b")
 				var c ledger.Commit
 				p.merge(r, &c)
-				if out = len(r.drafts) == 1; out && (len(c.Delete) != 1 || len(r.drafts["a"].Binds) != 6 || r.assignments["red"] != p.view.Assignments["red"].Stamp) {
-					t.Errorf("%+v, %d machines", c, len(r.drafts["a"].Binds))
+				if out = len(r.drafts) == 1; out && (len(c.Delete) != 1 || len(r.drafts["a"].Machines) != 6 || r.assignments["red"] != p.view.Assignments["red"].Stamp) {
+					t.Errorf("%+v, %d machines", c, len(r.drafts["a"].Machines))
 				}
 			})
 			return out
@@ -254,15 +254,15 @@
 			crowd(l, machines, 10)
 			in(p, func() {
 				g := *p.view.Groups["z"]
-				other := *g.Binds[7]
+				other := *g.Machines[7]
 				other.Tasks = nil
-				at := [2]*ledger.Machine{g.Binds[7], &other}
+				at := [2]*ledger.Machine{g.Machines[7], &other}
 				turn := 0
 				n = testing.AllocsPerRun(20, func() {
 					turn++
 					next := g
-					next.Binds = slices.Clone(g.Binds)
-					next.Binds[7], next.Stamp = at[turn%2], g.Stamp+uint64(turn)
+					next.Machines = slices.Clone(g.Machines)
+					next.Machines[7], next.Stamp = at[turn%2], g.Stamp+uint64(turn)
 					p.apply(ledger.Delta{Epoch: next.Stamp, Fresh: time.Now(), Changes: []ledger.Change{
 						{Key: ledger.Key(ledger.KindBind, "z"), Kind: ledger.KindBind, Name: "z", Rec: &next, Stamp: next.Stamp},
 					}})
@@ -401,7 +401,7 @@
 				if g.Size() > 512 {
 					t.Errorf("%s has %d bytes", g.Name, g.Size())
 				}
-				for _, b := range g.Binds {
+				for _, b := range g.Machines {
 					tasks += len(b.Tasks)
 				}
 			}
@@ -499,7 +499,7 @@
 			p.takeObservations(r, true, false)
 			w := waiting{id: "req-000001", job: p.view.Jobs["req-000001"]}
 			bound := 0
-			for i, b := range group.Binds {
+			for i, b := range group.Machines {
 				if p.bind(r, p.nodes[b.Name], w, 5000+i) {
 					bound++
 				}
@@ -527,7 +527,7 @@
 			for n := range 6 {
 				b.Tasks = append(b.Tasks, ledger.BoundTask{Job: "req-000001", N: 100 + 6*i + n, Attempt: ledger.Token(1) + 8})
 			}
-			group.Binds = append(group.Binds, b)
+			group.Machines = append(group.Machines, b)
 		}
 		l.Commit(ledger.Commit{Puts: []ledger.Put{
 			{Key: ledger.Key(ledger.KindBind, "a"), Rec: group},
@@ -535,7 +535,7 @@
 			{Key: ledger.TermKey, Rec: &ledger.Term{Term: 2}},
 		}}, func(ledger.Outcome) {})
 		time.Sleep(time.Second)
-		for _, b := range group.Binds {
+		for _, b := range group.Machines {
 			report := &wire.Report{Machine: b.Name, Addr: "x:1", Type: "s", Zone: "a", Session: 1, Seq: 1, Token: b.Token}
 			for i := range b.Tasks {
 				task := wire.TaskReport{Task: b.Tasks[i].Name(), Attempt: b.Tasks[i].Attempt, State: wire.TaskRunning}
@@ -548,11 +548,11 @@
 		}
 		time.Sleep(10 * time.Second)
 		in(p, func() {
-			if bound := len(p.view.Bound["req-000001"]); bound != 5*len(group.Binds) || len(p.view.Groups) < 2 {
-				t.Errorf("%d tasks of %d are bound, in %d groups", bound, 5*len(group.Binds), len(p.view.Groups))
+			if bound := len(p.view.Bound["req-000001"]); bound != 5*len(group.Machines) || len(p.view.Groups) < 2 {
+				t.Errorf("%d tasks of %d are bound, in %d groups", bound, 5*len(group.Machines), len(p.view.Groups))
 			}
-			if done := p.view.DoneCount("req-000001"); done != len(group.Binds) {
-				t.Errorf("%d of %d ends are written", done, len(group.Binds))
+			if done := p.view.DoneCount("req-000001"); done != len(group.Machines) {
+				t.Errorf("%d of %d ends are written", done, len(group.Machines))
 			}
 		})
 	})
--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -135,7 +135,7 @@
 		return nil
 	}
 	r.drafts[group] = d
-	for _, b := range d.Binds {
+	for _, b := range d.Machines {
 		if n := p.nodes[b.Name]; n != nil {
 			n.NeedsOwnWrite = false
 		}
@@ -148,7 +148,7 @@
 	c := ledger.Commit{Settle: true, Patience: p.reportS(0.5)}
 	var touched []string
 	for _, d := range r.drafts {
-		for _, b := range d.Binds {
+		for _, b := range d.Machines {
 			touched = append(touched, b.Name)
 		}
 	}
@@ -185,7 +185,7 @@
 			delete(d.Marks, job)
 		}
 		if !d.Fit(p.valueBytes(1)) {
-			slog.Error("record too large; nothing is written", "group", d.Name, "bytes", d.Size(), "machines", len(d.Binds))
+			slog.Error("record too large; nothing is written", "group", d.Name, "bytes", d.Size(), "machines", len(d.Machines))
 			// Rows grow when they are rewritten in a later term: the next round splits the
 			// record, or it would be tried in vain again and again.
 			p.largeRecords[d.Name] = true
--- a/internal/rent/edits.go
+++ b/internal/rent/edits.go
@@ -152,7 +152,7 @@
 				continue
 			}
 			d := r.view.Draft(b.Group)
-			size := d.Size() + editBytes*len(d.Binds)
+			size := d.Size() + editBytes*len(d.Machines)
 			if len(batch.groups) > 0 && bytes+size > editBodyBytes {
 				continue
 			}
@@ -214,7 +214,7 @@
 		return false
 	}
 	for _, part := range parts {
-		slog.Debug("group split", "group", d.Name, "into", part.Name, "machines", len(part.Binds))
+		slog.Debug("group split", "group", d.Name, "into", part.Name, "machines", len(part.Machines))
 	}
 	d.AddSplitTo(&b.commit, parts)
 	return true
--- a/internal/rent/edits_test.go
+++ b/internal/rent/edits_test.go
@@ -19,7 +19,7 @@
 		for n := range 3 {
 			b.Tasks = append(b.Tasks, ledger.BoundTask{Job: "req-000001", N: 3*i + n, Attempt: ledger.Token(1) + 8})
 		}
-		g.Binds = append(g.Binds, b)
+		g.Machines = append(g.Machines, b)
 	}
 	return g
 }
@@ -54,7 +54,7 @@
 		batch := &editBatch{writes: rapid.IntRange(1, maxWrites).Draw(t, "writes"), maxWrites: maxWrites, groups: map[string]*groupEdits{}}
 		for _, g := range groups {
 			edits := &groupEdits{draft: view.Draft(g.Name), edits: map[string]edit{}}
-			for _, b := range g.Binds {
+			for _, b := range g.Machines {
 				switch rapid.IntRange(0, 3).Draw(t, "edit") {
 				case 0:
 					edits.edits[b.Name] = edit{gone: true}
@@ -90,7 +90,7 @@
 			if !slices.Contains(batch.commit.Guards, wire.Guard{Key: put.Key, Version: version}) {
 				t.Fatalf("%s is not guarded on version %d", put.Key, version)
 			}
-			for _, b := range g.Binds {
+			for _, b := range g.Machines {
 				if written[b.Name] != nil {
 					t.Fatalf("%s twice", b.Name)
 				}
@@ -104,7 +104,7 @@
 			}
 		}
 		for name, group := range batch.groups {
-			for _, old := range view.Groups[name].Binds {
+			for _, old := range view.Groups[name].Machines {
 				e, edited := group.edits[old.Name]
 				row := written[old.Name]
 				switch {
@@ -134,7 +134,7 @@
 		b := &editBatch{writes: writes, maxWrites: 8, groups: map[string]*groupEdits{}}
 		for _, g := range groups {
 			edits := &groupEdits{draft: view.Draft(g.Name), edits: map[string]edit{}}
-			for _, machine := range g.Binds {
+			for _, machine := range g.Machines {
 				edits.edits[machine.Name] = edit{quiet: true}
 				edits.edits[machine.Name].applyTo(edits.draft, machine.Name)
 			}
--- a/internal/rent/rent_test.go
+++ b/internal/rent/rent_test.go
@@ -88,7 +88,7 @@
 		group := func(m string, tasks ...ledger.BoundTask) ledger.Put {
 			return ledger.Put{Key: ledger.Key(ledger.KindBind, "g."+m), Rec: &ledger.Group{
 				Type: "s", Zone: "a", At: time.Now().UnixMilli(),
-				Binds: []*ledger.Machine{{Name: m, Addr: "x:1", Session: 1, Tasks: tasks}},
+				Machines: []*ledger.Machine{{Name: m, Addr: "x:1", Session: 1, Tasks: tasks}},
 			}}
 		}
 		c := ledger.Commit{Puts: []ledger.Put{
@@ -169,11 +169,11 @@
 			return b
 		}
 		put := func(g string, b *ledger.Machine) ledger.Put {
-			return ledger.Put{Key: ledger.Key(ledger.KindBind, g), Rec: &ledger.Group{Name: g, Type: "s", Zone: "a", Binds: []*ledger.Machine{b}}}
+			return ledger.Put{Key: ledger.Key(ledger.KindBind, g), Rec: &ledger.Group{Name: g, Type: "s", Zone: "a", Machines: []*ledger.Machine{b}}}
 		}
 		limit := int(r.cfg.Params.State.ValueKB * 1024)
 		full := bind("i-8", 1)
-		for n := 2; (&ledger.Group{Type: "s", Zone: "a", Binds: []*ledger.Machine{full}}).Size() < limit; n++ {
+		for n := 2; (&ledger.Group{Type: "s", Zone: "a", Machines: []*ledger.Machine{full}}).Size() < limit; n++ {
 			full = bind("i-8", n)
 		}
 		l.Commit(ledger.Commit{Puts: []ledger.Put{put("full", full), put("small", bind("i-9", 0))}}, func(ledger.Outcome) {})
@@ -222,7 +222,7 @@
 		}
 		held := &ledger.Machine{Name: b.Name, Addr: "x:1", Session: 1, Token: b.Token + 1, Tasks: []ledger.BoundTask{{Job: "req-000001", Attempt: b.Token}}}
 		l.Commit(ledger.Commit{
-			Puts:   []ledger.Put{{Key: ledger.Key(ledger.KindBind, "other"), Rec: &ledger.Group{Type: b.Type, Zone: b.Zone, At: b.At, Binds: []*ledger.Machine{held}}}},
+			Puts:   []ledger.Put{{Key: ledger.Key(ledger.KindBind, "other"), Rec: &ledger.Group{Type: b.Type, Zone: b.Zone, At: b.At, Machines: []*ledger.Machine{held}}}},
 			Delete: []string{ledger.Key(ledger.KindBind, b.Group)},
 		}, func(ledger.Outcome) {})
 		for range 100 {
@@ -248,7 +248,7 @@
 			for n := range 4 {
 				b.Tasks = append(b.Tasks, ledger.BoundTask{Job: "req-000001", N: 4*i + n, Attempt: ledger.Token(1) + 8})
 			}
-			g.Binds = append(g.Binds, b)
+			g.Machines = append(g.Machines, b)
 		}
 		l.Commit(ledger.Commit{Puts: []ledger.Put{
 			{Key: ledger.LeaderKey, Rec: &ledger.Leader{Member: "n0", Boot: 7, Term: 2}}, {Key: ledger.TermKey, Rec: &ledger.Term{Term: 2}},
@@ -256,7 +256,7 @@
 		}}, func(ledger.Outcome) {})
 		time.Sleep(time.Second)
 		r.Send(func() {
-			for _, b := range g.Binds {
+			for _, b := range g.Machines {
 				r.edit(b.Name, edit{quiet: true})
 			}
 		})
@@ -264,15 +264,15 @@
 		marked := make(chan int)
 		r.Send(func() {
 			n := 0
-			for _, b := range g.Binds {
+			for _, b := range g.Machines {
 				if r.view.Machines[b.Name] != nil && r.view.Machines[b.Name].Suspected {
 					n++
 				}
 			}
 			marked <- n
 		})
-		if n := <-marked; n != len(g.Binds) {
-			t.Errorf("%d of %d machines marked", n, len(g.Binds))
+		if n := <-marked; n != len(g.Machines) {
+			t.Errorf("%d of %d machines marked", n, len(g.Machines))
 		}
 	})
 }
--- a/internal/rent/returns.go
+++ b/internal/rent/returns.go
@@ -13,7 +13,7 @@
 func (r *Renter) tidy() {
 	c := ledger.Commit{Guards: []wire.Guard{r.guard()}}
 	for name, g := range r.view.Groups {
-		if len(g.Binds) > 0 || len(c.Delete) >= r.cfg.Params.State.Ops() {
+		if len(g.Machines) > 0 || len(c.Delete) >= r.cfg.Params.State.Ops() {
 			continue
 		}
 		if d := r.view.Draft(name); d.Empty() {
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -40,7 +40,7 @@
 	bind.Name = "i-1"
 	ok := make(chan ledger.Outcome, 1)
 	l.Commit(ledger.Commit{Puts: []ledger.Put{
-		{Key: ledger.Key(ledger.KindBind, "g"), Rec: &ledger.Group{Type: "t", Zone: "z", Binds: []*ledger.Machine{bind}}}, {Key: ledger.Key(ledger.KindJob, "req-000001"), Rec: job},
+		{Key: ledger.Key(ledger.KindBind, "g"), Rec: &ledger.Group{Type: "t", Zone: "z", Machines: []*ledger.Machine{bind}}}, {Key: ledger.Key(ledger.KindJob, "req-000001"), Rec: job},
 	}}, func(out ledger.Outcome) { ok <- out })
 	if out := <-ok; out != ledger.Committed {
 		t.Fatal(out)
