--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -27,7 +27,7 @@
 func (v *View) Draft(name string) *Draft {
 	d := &Draft{Group: *v.Groups[name], term: v.CurrentTerm(), fresh: map[string]*Machine{}}
 	d.Machines = slices.Clone(d.Machines)
-	d.Gone = nil
+	d.Departures = nil
 	d.Marks = make(map[string][]int, len(d.Marks))
 	for job, ns := range v.Groups[name].Marks {
 		if v.Active(job) {
@@ -89,7 +89,7 @@
 			d.Mark(job, n)
 		}
 	}
-	d.Gone = append(d.Gone, o.Gone...)
+	d.Departures = append(d.Departures, o.Departures...)
 	d.At = min(d.At, o.At)
 }
 
@@ -109,9 +109,9 @@
 // bytes; false when it can't be made to fit.
 func (d *Draft) Fit(limit int) bool {
 	size := d.Size()
-	for size > limit && len(d.Gone) > 0 {
-		size -= GoneBytes(&d.Gone[len(d.Gone)-1])
-		d.Gone = d.Gone[:len(d.Gone)-1]
+	for size > limit && len(d.Departures) > 0 {
+		size -= GoneBytes(&d.Departures[len(d.Departures)-1])
+		d.Departures = d.Departures[:len(d.Departures)-1]
 	}
 	return size <= limit
 }
--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -16,9 +16,9 @@
 	Machines []*Machine // by name
 	// Marks are completed tasks of jobs that are not over, until they are
 	// folded into the jobs' done sets.
-	Marks map[string][]int
-	Gone  []Departure // tasks that left with this write
-	Stamp uint64
+	Marks      map[string][]int
+	Departures []Departure // tasks that left with this write
+	Stamp      uint64
 
 	same affix // what the rows of the record leave out
 }
--- a/internal/ledger/grouprecord.go
+++ b/internal/ledger/grouprecord.go
@@ -119,8 +119,8 @@
 // Size is at most the record's size in bytes.
 func (g *Group) Size() int {
 	n := g.Kept()
-	for i := range g.Gone {
-		n += GoneBytes(&g.Gone[i])
+	for i := range g.Departures {
+		n += GoneBytes(&g.Departures[i])
 	}
 	return n
 }
@@ -142,8 +142,8 @@
 			r.Done[job[len(jobPrefix):]] = encodeMarks(ns)
 		}
 	}
-	for i := range g.Gone {
-		r.Gone = append(r.Gone, encodeGone(&g.Gone[i]))
+	for i := range g.Departures {
+		r.Gone = append(r.Gone, encodeGone(&g.Departures[i]))
 	}
 	return json.Marshal(r)
 }
@@ -195,7 +195,7 @@
 		if err != nil {
 			return nil, err
 		}
-		g.Gone = append(g.Gone, gone)
+		g.Departures = append(g.Departures, gone)
 	}
 	return g, nil
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -52,7 +52,7 @@
 		g.Marks[rapid.StringMatching(`req-[0-9]{6}`).Draw(t, "marked")] = ns
 	}
 	for i := range rapid.IntRange(0, 3).Draw(t, "gone") {
-		g.Gone = append(g.Gone, Departure{Machine: "i-000001", Job: "req-000001", N: i, Why: wire.WhyDone, RanS: float64(i) * 1.5})
+		g.Departures = append(g.Departures, Departure{Machine: "i-000001", Job: "req-000001", N: i, Why: wire.WhyDone, RanS: float64(i) * 1.5})
 	}
 	return g
 }
--- a/internal/ledger/upgrade_test.go
+++ b/internal/ledger/upgrade_test.go
@@ -76,7 +76,7 @@
 			}
 			g.Marks[job] = ns
 		}
-		g.Stamp, g.Gone = 9, nil
+		g.Stamp, g.Departures = 9, nil
 		fill := rapid.IntRange(300, 1500).Draw(t, "fill")
 		d := &Draft{Group: *g, fresh: map[string]*Machine{}}
 		all := append([]*Draft{d}, d.splitToFill(fill)...)
--- a/internal/place/failures.go
+++ b/internal/place/failures.go
@@ -23,8 +23,8 @@
 
 // left learns from what a group's new record says of the tasks that left.
 func (p *Placer) left(g *ledger.Group, now time.Time) {
-	for i := range g.Gone {
-		gone := &g.Gone[i]
+	for i := range g.Departures {
+		gone := &g.Departures[i]
 		switch gone.Why {
 		case wire.WhyDone:
 			delete(p.failed, gone.Job)
@@ -32,7 +32,7 @@
 			p.fail(gone.Job, gone.Machine, gone.Why, now)
 		}
 	}
-	p.runs.Learn(g.Gone, p.view.Jobs)
+	p.runs.Learn(g.Departures, p.view.Jobs)
 }
 
 // fail backs a job off: a refusal for want of room for one report, a real
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -135,7 +135,7 @@
 				if delete(p.largeRecords, c.Name); g.Kept() > p.valueBytes(splitFrom) {
 					p.largeRecords[c.Name] = true
 				}
-				if len(g.Gone) > 0 {
+				if len(g.Departures) > 0 {
 					p.proved = now
 				}
 				for job := range g.Marks {
--- a/internal/place/proofs.go
+++ b/internal/place/proofs.go
@@ -152,7 +152,7 @@
 			d.size += 8
 		}
 		next.Tasks = slices.DeleteFunc(next.Tasks, func(b ledger.BoundTask) bool { return b.Job == g.Job && b.N == g.N })
-		d.Gone = append(d.Gone, g)
+		d.Departures = append(d.Departures, g)
 		r.departed++
 		r.departureBytes += ledger.GoneBytes(&g)
 		if j := p.view.Jobs[g.Job]; j != nil && j.Spec != nil {
--- a/internal/place/round_test.go
+++ b/internal/place/round_test.go
@@ -84,7 +84,7 @@
 		}
 		p.Observe(endedOn(groupOf("a", 1), 0), 16*time.Second)
 		other := groupOf("b", 1)
-		other.Gone = []ledger.Departure{{Machine: "i-b000", Job: "req-000001", N: 7, Why: wire.WhyDone}}
+		other.Departures = []ledger.Departure{{Machine: "i-b000", Job: "req-000001", N: 7, Why: wire.WhyDone}}
 		for range 12 { // 36 s
 			l.Commit(ledger.Commit{Puts: []ledger.Put{{Key: ledger.Key(ledger.KindBind, "b"), Rec: other}}}, func(ledger.Outcome) {})
 			time.Sleep(3 * time.Second)
@@ -151,7 +151,7 @@
 		if n := fold(func(d *draft) {
 			d.Mark("req-000001", 1)
 			for i := range 80 {
-				d.Gone = append(d.Gone, ledger.Departure{Machine: "i-a000", Job: "req-000001", N: 1000 + i, Why: wire.WhyDone, RanS: 20.5})
+				d.Departures = append(d.Departures, ledger.Departure{Machine: "i-a000", Job: "req-000001", N: 1000 + i, Why: wire.WhyDone, RanS: 20.5})
 			}
 		}); n != 0 {
 			t.Errorf("%d folds for tasks that left", n)
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -114,8 +114,8 @@
 		switch c.Kind {
 		case ledger.KindBind:
 			if g, _ := c.Rec.(*ledger.Group); g != nil {
-				r.judge(g.Gone)
-				r.runs.Learn(g.Gone, r.view.Jobs)
+				r.judge(g.Departures)
+				r.runs.Learn(g.Departures, r.view.Jobs)
 			}
 		case ledger.KindJob:
 			j, _ := c.Rec.(*ledger.Job)
