--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -162,7 +162,7 @@
 			continue
 		}
 		if w.Put == "" {
-			l.dead[c.Key] = rev
+			l.deleted[c.Key] = rev
 		}
 		chs = append(chs, c)
 	}
--- a/internal/ledger/follow.go
+++ b/internal/ledger/follow.go
@@ -176,9 +176,9 @@
 	// Only now: one answer may hold an older record of a key that an own commit
 	// deleted. Taken over, it would bind its tasks to the old machine for a
 	// moment, and hide where they have been bound since.
-	for k, s := range l.dead {
+	for k, s := range l.deleted {
 		if s <= l.epoch {
-			delete(l.dead, k)
+			delete(l.deleted, k)
 		}
 	}
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -53,14 +53,14 @@
 	store Store
 	opt   Options
 
-	view   *View
-	epoch  uint64
-	fresh  time.Time
-	loaded bool
-	warned bool              // of many jobs
-	dead   map[string]uint64 // keys deleted by own commits, until the watch passes them
-	chains *pipelines
-	subs   []func(Delta)
+	view    *View
+	epoch   uint64
+	fresh   time.Time
+	loaded  bool
+	warned  bool              // of many jobs
+	deleted map[string]uint64 // keys deleted by own commits, until the watch passes them
+	chains  *pipelines
+	subs    []func(Delta)
 
 	freshAt    atomic.Pointer[time.Time] // fresh, for those who only look
 	waiters    []func(error)             // of the next refresh
@@ -73,7 +73,7 @@
 	view := NewView(opt.ChunkTasks)
 	return &Ledger{
 		Actor: actor.Start(ctx, "ledger", 1024), ctx: ctx, store: store, opt: opt,
-		view: view, dead: map[string]uint64{}, chains: newPipelines(view),
+		view: view, deleted: map[string]uint64{}, chains: newPipelines(view),
 	}
 }
 
@@ -116,7 +116,7 @@
 	for _, c := range chs {
 		// What the view has already, as an own commit repeated by the watch, is
 		// not told twice: what a record says of ended tasks would count twice.
-		if c.Stamp <= l.view.stamp(c.Kind, c.Name) || c.Stamp < l.dead[c.Key] {
+		if c.Stamp <= l.view.stamp(c.Kind, c.Name) || c.Stamp < l.deleted[c.Key] {
 			continue
 		}
 		j, isJob := c.Rec.(*Job)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -186,7 +186,7 @@
 // the watch: it bound its tasks to a machine that was gone, and when the
 // deletion followed, they looked unbound though they were bound elsewhere.
 func TestOwnDeleteIsNotUndone(t *testing.T) {
-	l := &Ledger{view: NewView(8), epoch: 8, dead: map[string]uint64{Key(KindBind, "m2"): 11}}
+	l := &Ledger{view: NewView(8), epoch: 8, deleted: map[string]uint64{Key(KindBind, "m2"): 11}}
 	task := BoundTask{Job: "req-000001", Attempt: 1}
 	l.view.Apply(Change{Key: Key(KindBind, "m1"), Kind: KindBind, Name: "m1", Rec: &Group{Name: "m1", Machines: []*Machine{{Name: "m1", Tasks: []BoundTask{task}}}, Stamp: 12}, Stamp: 12})
 	old, _ := json.Marshal(&Group{Machines: []*Machine{{Name: "m2", Tasks: []BoundTask{task}}}})
@@ -203,7 +203,7 @@
 	if m := l.view.Bound["req-000001"][0]; m != "m1" {
 		t.Errorf("task is bound to %q", m)
 	}
-	if len(l.dead) > 0 {
+	if len(l.deleted) > 0 {
 		t.Error("deletions are remembered for ever")
 	}
 }
