--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -44,12 +44,12 @@
 	ledger *ledger.Ledger
 	to     Links
 
-	view   *ledger.View
-	fresh  time.Time
-	heard  map[string]bool
-	seenBy []func(machines []string)
-	last   map[string]*contact
-	shed   map[string]bool // machines sent away since the view was fresh last
+	view     *ledger.View
+	fresh    time.Time
+	heard    map[string]bool
+	seenBy   []func(machines []string)
+	last     map[string]*contact
+	sentAway map[string]bool // machines sent away since the view was fresh last
 }
 
 // contact is what this node knows of a machine from hearing it.
@@ -67,7 +67,7 @@
 	r := &Reports{
 		Actor: actor.Start(ctx, "reports", 512), cfg: cfg, boot: boot, ledger: l, to: to,
 		view:  ledger.NewRunningView(ledger.ChunkTasks(cfg.Params.State.ValueKB)),
-		heard: map[string]bool{}, last: map[string]*contact{}, shed: map[string]bool{},
+		heard: map[string]bool{}, last: map[string]*contact{}, sentAway: map[string]bool{},
 	}
 	l.Subscribe(func(d ledger.Delta) { r.Send(func() { r.apply(d) }) })
 	r.Every(config.Secs(cfg.Params.Workers.ReportS/3), r.beat)
@@ -81,7 +81,7 @@
 func (r *Reports) apply(d ledger.Delta) {
 	if d.Fresh.After(r.fresh) {
 		r.fresh = d.Fresh
-		clear(r.shed)
+		clear(r.sentAway)
 	}
 	for _, c := range d.Changes {
 		for _, b := range r.view.Apply(c) {
@@ -137,8 +137,8 @@
 		return false
 	case r.to.Elsewhere() != "":
 		return true
-	case r.to.Alone() && !r.shed[machine]:
-		r.shed[machine] = true
+	case r.to.Alone() && !r.sentAway[machine]:
+		r.sentAway[machine] = true
 		return true
 	}
 	return false
