--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -70,7 +70,7 @@
 		heard: map[string]bool{}, last: map[string]*contact{}, sentAway: map[string]bool{},
 	}
 	l.Subscribe(func(d ledger.Delta) { r.Send(func() { r.apply(d) }) })
-	r.Every(config.Secs(cfg.Params.Workers.ReportS/3), r.beat)
+	r.Every(config.Secs(cfg.Params.Workers.ReportS/3), r.announceHeard)
 	return r
 }
 
@@ -96,8 +96,8 @@
 	}
 }
 
-// beat tells who was heard.
-func (r *Reports) beat() {
+// announceHeard tells who was heard.
+func (r *Reports) announceHeard() {
 	if len(r.heard) == 0 {
 		return
 	}
