--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -181,7 +181,7 @@
 		}
 		k, _ := r.contact(rep)
 		proof := place.Reconcile(rec, rep, r.view.Active)
-		r.pass(rep, k, &proof)
+		r.forward(rep, k, &proof)
 	})
 }
 
@@ -224,7 +224,7 @@
 	}
 	k, news := r.contact(rep)
 	proof := place.Reconcile(rec, rep, r.view.Active)
-	writer := r.pass(rep, k, &proof)
+	writer := r.forward(rep, k, &proof)
 	if writer != "" && now.Sub(k.sent) > config.Secs(2*r.cfg.Params.Workers.ReportS) {
 		k.sent = now
 		if news && !r.deaf(rep, k, now) {
@@ -291,12 +291,12 @@
 	return false
 }
 
-// pass gives what a report proves to the controller that writes it. This one's
+// forward gives what a report proves to the controller that writes it. This one's
 // placer keeps it too, for the case that the other is lost. If the other is out
-// of reach, pass returns its name: the worker had better tell it. That each
+// of reach, forward returns its name: the worker had better tell it. That each
 // controller wrote its own part would be many small writes that hinder each
 // other.
-func (r *Reports) pass(rep *wire.Report, k *contact, proof *place.Proof) (unreached string) {
+func (r *Reports) forward(rep *wire.Report, k *contact, proof *place.Proof) (unreached string) {
 	if !proof.Changes() {
 		return ""
 	}
