--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -111,9 +111,9 @@
 	}
 }
 
-// spare is the time between the last moment at which this node surely knew
+// renewalWindow is the time between the last moment at which this node surely knew
 // every cancellation and the moment at which it must stop renewing leases.
-func (r *Reports) spare() time.Duration {
+func (r *Reports) renewalWindow() time.Duration {
 	w := r.cfg.Params.Workers
 	return config.Secs(w.CancelS - w.LeaseS - cancelMargin*w.ReportS)
 }
@@ -131,9 +131,9 @@
 // answering those that come back.
 func (r *Reports) refuses(machine string, age time.Duration) bool {
 	switch {
-	case age > r.spare():
+	case age > r.renewalWindow():
 		return true
-	case age <= min(r.spare()/2, config.Secs(r.cfg.Params.Workers.ReportS)):
+	case age <= min(r.renewalWindow()/2, config.Secs(r.cfg.Params.Workers.ReportS)):
 		return false
 	case r.to.Elsewhere() != "":
 		return true
@@ -284,7 +284,7 @@
 func (r *Reports) overdue(rec *ledger.Machine, now time.Time) bool {
 	for i := range rec.Tasks {
 		j := r.view.Jobs[rec.Tasks[i].Job]
-		if j != nil && j.State == wire.JobCancelled && now.Sub(time.UnixMilli(j.EndAt)) > r.spare() {
+		if j != nil && j.State == wire.JobCancelled && now.Sub(time.UnixMilli(j.EndAt)) > r.renewalWindow() {
 			return true
 		}
 	}
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -143,7 +143,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		b := newBench(ctx, t, &ledger.Machine{Session: 1, Token: 9}, &ledger.Job{Tasks: 1})
-		half := b.reports.spare() * 3 / 4
+		half := b.reports.renewalWindow() * 3 / 4
 		b.stale(half)
 		if r := b.ask(wire.Report{Session: 1, Seq: 1}); !r.Accept {
 			t.Error("refused in an outage that all see")
@@ -233,7 +233,7 @@
 		if r := b.report(wire.Report{Session: 1, Seq: 1}); !r.Accept {
 			t.Fatal("refused with a fresh view")
 		}
-		b.stale(b.reports.spare() + time.Second)
+		b.stale(b.reports.renewalWindow() + time.Second)
 		if r := b.ask(wire.Report{Session: 1, Seq: 2}); r.Accept {
 			t.Error("lease renewed by a stale node")
 		}
