--- a/internal/rent/demand.go
+++ b/internal/rent/demand.go
@@ -12,8 +12,8 @@
 	"lynxledge/wire"
 )
 
-// gauge logs what a pass saw.
-func (r *Renter) gauge(in *plan.Input, p *plan.Plan) {
+// logPass logs what a pass saw.
+func (r *Renter) logPass(in *plan.Input, p *plan.Plan) {
 	if !slog.Default().Enabled(r.ctx, slog.LevelDebug) {
 		return
 	}
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -202,7 +202,7 @@
 	r.planned = time.Now()
 	in := r.input()
 	p := plan.Make(in)
-	r.gauge(&in, &p)
+	r.logPass(&in, &p)
 	r.rentAll(p.Rent)
 	for _, m := range p.Return {
 		r.close(m, whyIdle)
