--- a/internal/rent/demand.go
+++ b/internal/rent/demand.go
@@ -78,7 +78,7 @@
 	// A stage that is not ready yet has its load in its own window: its machines are
 	// rented when they would be up as it becomes ready, not long before.
 	for id, h := range r.readyIn(now) {
-		r.foresee(id, h, now)
+		r.reportLateness(id, h, now)
 		if h.S <= ops.BootLagS+ops.PassS {
 			add(id, r.blocked[id], h.S)
 		}
@@ -151,9 +151,9 @@
 	return place.ReadyIn(r.blocked, r.view.Active, left, run)
 }
 
-// foresee says early that a pipeline will miss its deadline, and which stage makes
+// reportLateness says early that a pipeline will miss its deadline, and which stage makes
 // it: once for each change.
-func (r *Renter) foresee(last string, h place.Held, now time.Time) {
+func (r *Renter) reportLateness(last string, h place.Held, now time.Time) {
 	j := r.blocked[last]
 	if j.Spec.DeadlineS == nil {
 		return
