--- a/internal/rent/failures.go
+++ b/internal/rent/failures.go
@@ -11,9 +11,9 @@
 	"lynxledge/wire"
 )
 
-// judge tells a faulty machine from a faulty job: a job fails on every
+// countErrors tells a faulty machine from a faulty job: a job fails on every
 // machine, a faulty machine fails whatever job it is given.
-func (r *Renter) judge(gone []ledger.Departure) {
+func (r *Renter) countErrors(gone []ledger.Departure) {
 	for i := range gone {
 		g := &gone[i]
 		m := g.Machine
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -114,7 +114,7 @@
 		switch c.Kind {
 		case ledger.KindBind:
 			if g, _ := c.Rec.(*ledger.Group); g != nil {
-				r.judge(g.Departures)
+				r.countErrors(g.Departures)
 				r.runs.Learn(g.Departures, r.view.Jobs)
 			}
 		case ledger.KindJob:
