--- a/internal/rent/edits.go
+++ b/internal/rent/edits.go
@@ -11,10 +11,10 @@
 
 // edit is what the leader wants written of a machine.
 type edit struct {
-	quiet bool   // ask, through the record, whether anybody hears it
-	drain string // bind nothing more to it, and say why
-	close bool   // and return it
-	gone  bool   // it is: the cloud answered its deletion
+	suspected bool   // ask, through the record, whether anybody hears it
+	drain     string // bind nothing more to it, and say why
+	close     bool   // and return it
+	gone      bool   // it is: the cloud answered its deletion
 }
 
 const (
@@ -56,7 +56,7 @@
 		return
 	}
 	row := d.Edit(machine)
-	row.Suspected = row.Suspected || e.quiet
+	row.Suspected = row.Suspected || e.suspected
 	row.Closed = row.Closed || e.close
 	if e.drain != "" {
 		row.Drain = e.drain
@@ -66,7 +66,7 @@
 // edit has something written of a machine with the next transaction. What goes
 // further takes the place of what was wanted before.
 func (r *Renter) edit(m string, e edit) {
-	if old := r.edits[m]; old.gone || old.close && !e.gone || old.drain != "" && e.quiet {
+	if old := r.edits[m]; old.gone || old.close && !e.gone || old.drain != "" && e.suspected {
 		return
 	}
 	r.edits[m] = e
--- a/internal/rent/edits_test.go
+++ b/internal/rent/edits_test.go
@@ -61,7 +61,7 @@
 				case 1:
 					edits.edits[b.Name] = edit{drain: "faulty"}
 				case 2:
-					edits.edits[b.Name] = edit{quiet: true}
+					edits.edits[b.Name] = edit{suspected: true}
 				}
 			}
 			for m, e := range edits.edits {
@@ -114,7 +114,7 @@
 					}
 				case row == nil:
 					t.Fatalf("%s is missing", old.Name)
-				case edited && (row.Suspected != e.quiet || row.Drain != e.drain || row.Token <= old.Token):
+				case edited && (row.Suspected != e.suspected || row.Drain != e.drain || row.Token <= old.Token):
 					t.Fatalf("%s: %+v became %+v", old.Name, e, row)
 				case len(row.Tasks) != len(old.Tasks):
 					t.Fatalf("%s has %d tasks of %d", old.Name, len(row.Tasks), len(old.Tasks))
@@ -135,7 +135,7 @@
 		for _, g := range groups {
 			edits := &groupEdits{draft: view.Draft(g.Name), edits: map[string]edit{}}
 			for _, machine := range g.Machines {
-				edits.edits[machine.Name] = edit{quiet: true}
+				edits.edits[machine.Name] = edit{suspected: true}
 				edits.edits[machine.Name].applyTo(edits.draft, machine.Name)
 			}
 			b.groups[g.Name] = edits
--- a/internal/rent/failures.go
+++ b/internal/rent/failures.go
@@ -72,7 +72,7 @@
 		}
 	}
 	for _, m := range quiet {
-		r.edit(m, edit{quiet: true})
+		r.edit(m, edit{suspected: true})
 	}
 	r.tidy()
 	r.flush()
--- a/internal/rent/rent_test.go
+++ b/internal/rent/rent_test.go
@@ -257,7 +257,7 @@
 		time.Sleep(time.Second)
 		r.Send(func() {
 			for _, b := range g.Machines {
-				r.edit(b.Name, edit{quiet: true})
+				r.edit(b.Name, edit{suspected: true})
 			}
 		})
 		time.Sleep(10 * time.Second)
