--- a/internal/rent/demand.go
+++ b/internal/rent/demand.go
@@ -91,7 +91,7 @@
 		if b.Session == 0 {
 			m.ReadyS = math.Max(0, r.bootS(b.Type)-m.AgeS)
 			// A boot that drags on may never end: it covers no load any more.
-			m.Open = m.Open && !r.drags(b, now)
+			m.Open = m.Open && !r.bootOverdue(b, now)
 		}
 		for i := range b.Tasks {
 			t := &b.Tasks[i]
--- a/internal/rent/hire.go
+++ b/internal/rent/hire.go
@@ -108,14 +108,14 @@
 // are held, the cloud may have no other to give in their place.
 func (r *Renter) giveUpBoots(pool plan.Pool) {
 	for m, b := range r.view.Machines {
-		if b.Type == pool.Type && b.Zone == pool.Zone && b.Spot == pool.Spot && r.drags(b, time.Now()) {
+		if b.Type == pool.Type && b.Zone == pool.Zone && b.Spot == pool.Spot && r.bootOverdue(b, time.Now()) {
 			r.close(m, "boot drags on and no other is to be had")
 		}
 	}
 }
 
-// drags tells whether a machine has been starting for longer than is usual.
-func (r *Renter) drags(b *ledger.Machine, now time.Time) bool {
+// bootOverdue tells whether a machine has been starting for longer than is usual.
+func (r *Renter) bootOverdue(b *ledger.Machine, now time.Time) bool {
 	return b.Session == 0 && now.Sub(time.UnixMilli(b.At)) > config.Secs(place.BootUsual*r.bootS(b.Type))
 }
 
