--- a/internal/apiserver/answers.go
+++ b/internal/apiserver/answers.go
@@ -25,8 +25,8 @@
 	answer(w, status, wire.Problem{Error: why})
 }
 
-// later refuses what can't be taken now and says when to come back.
-func later(w http.ResponseWriter, why string) {
+// refuseForNow refuses what can't be taken now and says when to come back.
+func refuseForNow(w http.ResponseWriter, why string) {
 	w.Header().Set("Retry-After", "1")
 	refuse(w, http.StatusServiceUnavailable, why)
 }
--- a/internal/apiserver/server.go
+++ b/internal/apiserver/server.go
@@ -170,7 +170,7 @@
 			return
 		}
 	}
-	later(w, errNoState.Error())
+	refuseForNow(w, errNoState.Error())
 }
 
 func (f *Server) poll(w http.ResponseWriter, r *http.Request) {
@@ -271,7 +271,7 @@
 	alone := f.peer == nil || f.peer.Elsewhere() == ""
 	lost := age > isolatedLeases*f.cfg.Params.Workers.LeaseS
 	if !ok || math.IsInf(age, 1) || lost || age > f.stale.Seconds() && !alone {
-		later(w, "not ready")
+		refuseForNow(w, "not ready")
 		return
 	}
 	answer(w, http.StatusOK, struct{}{})
@@ -303,6 +303,6 @@
 	case ok && out.ReportTo != "":
 		answer(w, http.StatusMisdirectedRequest, wire.Redirect{ReportTo: out.ReportTo})
 	default:
-		later(w, "not entitled to answer")
+		refuseForNow(w, "not entitled to answer")
 	}
 }
--- a/internal/apiserver/submit.go
+++ b/internal/apiserver/submit.go
@@ -68,7 +68,7 @@
 	}
 	switch {
 	case status == http.StatusServiceUnavailable:
-		later(w, why)
+		refuseForNow(w, why)
 		return
 	case why != "":
 		// A job that was accepted is never refused later, whatever its repeat
