--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -37,16 +37,16 @@
 // Mesh is the actor that knows the other controllers.
 type Mesh struct {
 	*actor.Actor
-	ctx     context.Context
-	cfg     *config.Config
-	period  time.Duration
-	fresh   func() time.Time
-	peers   map[string]*peer
-	best    atomic.Pointer[peer]
-	alone   atomic.Bool
-	onHeard atomic.Pointer[func([]string)]
-	onNote  atomic.Pointer[func(place.Observation)]
-	client  *http.Client
+	ctx           context.Context
+	cfg           *config.Config
+	period        time.Duration
+	fresh         func() time.Time
+	peers         map[string]*peer
+	best          atomic.Pointer[peer]
+	alone         atomic.Bool
+	onHeard       atomic.Pointer[func([]string)]
+	onObservation atomic.Pointer[func(place.Observation)]
+	client        *http.Client
 }
 
 type peer struct {
@@ -101,7 +101,7 @@
 const queued = 256
 
 // OnNote sets the receiver of what reports prove.
-func (m *Mesh) OnNote(f func(place.Observation)) { m.onNote.Store(&f) }
+func (m *Mesh) OnNote(f func(place.Observation)) { m.onObservation.Store(&f) }
 
 // Tell passes on what a report proves; false if the other controller is out of
 // reach. That it was told proves nothing.
@@ -227,7 +227,7 @@
 	if f := m.onHeard.Load(); f != nil && len(b.Heard) > 0 {
 		(*f)(b.Heard)
 	}
-	if f := m.onNote.Load(); f != nil && b.Note != nil && b.Note.Report != nil && b.Note.Report.Check() == nil {
+	if f := m.onObservation.Load(); f != nil && b.Note != nil && b.Note.Report != nil && b.Note.Report.Check() == nil {
 		(*f)(*b.Note)
 	}
 }
