--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -140,7 +140,7 @@
 	rep.Heard(msh.Heard)
 	rep.Heard(renter.Heard)
 	msh.OnHeard(renter.Heard)
-	msh.OnNote(func(n place.Observation) { placer.Observe(n, 0) })
+	msh.OnObservation(func(n place.Observation) { placer.Observe(n, 0) })
 	election.Start(ctx, to.state, led, election.Options{
 		Name: cfg.Name, Boot: boot, TTL: time.Duration(float64(report) * ops.MemberLease),
 		Teams: teams(p.Teams), MaxOps: p.State.Ops(), Chunk: chunk,
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -100,8 +100,8 @@
 // thousand machines prove within a few seconds, in which a stream may stand still.
 const queued = 256
 
-// OnNote sets the receiver of what reports prove.
-func (m *Mesh) OnNote(f func(place.Observation)) { m.onObservation.Store(&f) }
+// OnObservation sets the receiver of what reports prove.
+func (m *Mesh) OnObservation(f func(place.Observation)) { m.onObservation.Store(&f) }
 
 // Tell passes on what a report proves; false if the other controller is out of
 // reach. That it was told proves nothing.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -49,7 +49,7 @@
 				return time.Time{}
 			})
 			n.OnHeard(func(m []string) { n.heard = append(n.heard, m...) })
-			n.OnNote(func(x place.Observation) { n.notes = append(n.notes, x) })
+			n.OnObservation(func(x place.Observation) { n.notes = append(n.notes, x) })
 			go n.Serve(pipes.Listen(name, name+":1"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				b, _ := io.ReadAll(r.Body)
 				w.WriteHeader(http.StatusCreated)
