--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -190,7 +190,7 @@
 // Serve answers the others' streams and questions until ctx ends.
 func (m *Mesh) Serve(l net.Listener, front http.Handler) error {
 	r := chi.NewRouter()
-	r.Post("/beats", m.beats)
+	r.Post("/beats", m.receiveHeartbeats)
 	r.Mount("/", front)
 	srv := &http.Server{
 		Handler: r, Protocols: h2c(), ReadHeaderTimeout: 4 * m.period,
@@ -199,7 +199,7 @@
 	return srv.Serve(l)
 }
 
-func (m *Mesh) beats(w http.ResponseWriter, r *http.Request) {
+func (m *Mesh) receiveHeartbeats(w http.ResponseWriter, r *http.Request) {
 	w.WriteHeader(http.StatusOK)
 	if f, ok := w.(http.Flusher); ok {
 		f.Flush()
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -121,7 +121,7 @@
 	pair(t, func(_ *fakes.Net, a, _ *node, _ map[string]bool) {
 		r := httptest.NewRequest(http.MethodPost, "/beats", nil)
 		r.Body = io.NopCloser(strings.NewReader(`{"member":"n7","heard":["i-9"]}{"member":"n1","note":{"report":{"nest":""}}}rubbish`))
-		a.beats(httptest.NewRecorder(), r)
+		a.receiveHeartbeats(httptest.NewRecorder(), r)
 		time.Sleep(time.Second)
 		if len(a.heard) > 0 || len(a.notes) > 0 {
 			t.Errorf("believed: %v %v", a.heard, a.notes)
