--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -111,14 +111,14 @@
 		return false
 	}
 	select {
-	case p.out <- m.beat(Heartbeat{Note: &n}):
+	case p.out <- m.stamped(Heartbeat{Note: &n}):
 		return true
 	default:
 		return false
 	}
 }
 
-func (m *Mesh) beat(b Heartbeat) Heartbeat {
+func (m *Mesh) stamped(b Heartbeat) Heartbeat {
 	b.Member, b.AgeMS = m.cfg.Name, -1
 	if f := m.fresh(); !f.IsZero() {
 		b.AgeMS = time.Since(f).Milliseconds()
@@ -128,7 +128,7 @@
 
 // Heard tells the others which workers reported here.
 func (m *Mesh) Heard(machines []string) {
-	b := m.beat(Heartbeat{Heard: machines})
+	b := m.stamped(Heartbeat{Heard: machines})
 	for _, p := range m.peers {
 		select {
 		case p.out <- b:
