--- a/internal/fakes/idle.go
+++ b/internal/fakes/idle.go
@@ -77,7 +77,7 @@
 
 // roomFor names a machine that is up, on which one more task of a job may start, and
 // that has had room for it at all times since then, if there is one.
-func (r *Rules) roomFor(t *told, up []wire.Host, since time.Time) string {
+func (r *Rules) roomFor(t *jobRecord, up []wire.Host, since time.Time) string {
 	i := slices.IndexFunc(up, func(h wire.Host) bool {
 		room := r.free[h.ID]
 		if room == nil || room.since.After(since) {
--- a/internal/fakes/rules.go
+++ b/internal/fakes/rules.go
@@ -16,7 +16,7 @@
 	mu       sync.Mutex
 	teams    map[string]config.Team
 	cancelS  time.Duration
-	jobs     map[string]*told
+	jobs     map[string]*jobRecord
 	on       map[string]wire.Host // task: machine
 	used     map[string]float64   // processors, by team
 	breaches []string
@@ -27,7 +27,7 @@
 	free     map[string]*freeRoom // of machines that are up, by name
 }
 
-type told struct {
+type jobRecord struct {
 	job       *wire.Job
 	run       time.Duration
 	completed map[int]bool
@@ -44,7 +44,7 @@
 
 // NewRules makes a checker.
 func NewRules(p config.Params) *Rules {
-	r := &Rules{teams: map[string]config.Team{}, cancelS: config.Secs(p.Workers.CancelS), jobs: map[string]*told{}, on: map[string]wire.Host{}, used: map[string]float64{}, free: map[string]*freeRoom{}}
+	r := &Rules{teams: map[string]config.Team{}, cancelS: config.Secs(p.Workers.CancelS), jobs: map[string]*jobRecord{}, on: map[string]wire.Host{}, used: map[string]float64{}, free: map[string]*freeRoom{}}
 	for _, t := range p.Teams {
 		r.teams[t.Name] = t
 	}
@@ -74,7 +74,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.jobs[j.ID] == nil {
-		r.jobs[j.ID] = &told{job: j, run: run, completed: map[int]bool{}, zones: map[string]int{}, submitted: time.Now()}
+		r.jobs[j.ID] = &jobRecord{job: j, run: run, completed: map[int]bool{}, zones: map[string]int{}, submitted: time.Now()}
 	}
 }
 
@@ -250,9 +250,9 @@
 
 // fallen tells whether the cancellation of a job, or of one before it, was asked
 // for, and since when a user knows of one.
-func (r *Rules) fallen(t *told) (asked bool, since time.Time) {
-	seen := map[*told]bool{}
-	for todo := []*told{t}; len(todo) > 0; {
+func (r *Rules) fallen(t *jobRecord) (asked bool, since time.Time) {
+	seen := map[*jobRecord]bool{}
+	for todo := []*jobRecord{t}; len(todo) > 0; {
 		t, todo = todo[len(todo)-1], todo[:len(todo)-1]
 		if t == nil || seen[t] {
 			continue
@@ -277,7 +277,7 @@
 }
 
 // waiting tells whether a job waits for others.
-func (r *Rules) waiting(t *told) bool {
+func (r *Rules) waiting(t *jobRecord) bool {
 	return slices.ContainsFunc(t.job.Awaits, func(before string) bool {
 		b := r.jobs[before]
 		return len(b.completed) < b.job.Tasks || b.final != wire.JobDone
@@ -297,7 +297,7 @@
 
 // mayStart tells whether the job allows a machine, given its tasks that are on
 // machines.
-func (t *told) mayStart(h wire.Host) bool {
+func (t *jobRecord) mayStart(h wire.Host) bool {
 	j, inZone, elsewhere := t.job, t.zones[h.Zone], 0
 	for z, n := range t.zones {
 		if z != h.Zone {
