--- a/internal/fakes/rules.go
+++ b/internal/fakes/rules.go
@@ -227,7 +227,7 @@
 	}
 	t.accepted, t.answered = true, time.Now()
 	final := state == wire.JobDone || state == wire.JobCancelled
-	asked, told := r.fallen(t)
+	asked, told := r.cancellation(t)
 	if !final && !told.IsZero() && time.Since(told) > r.cancelS {
 		r.breach("orphaned: %s is %s %v after a job before it was cancelled", id, state, time.Since(told))
 	}
@@ -248,9 +248,9 @@
 	}
 }
 
-// fallen tells whether the cancellation of a job, or of one before it, was asked
+// cancellation tells whether the cancellation of a job, or of one before it, was asked
 // for, and since when a user knows of one.
-func (r *Rules) fallen(t *jobRecord) (asked bool, since time.Time) {
+func (r *Rules) cancellation(t *jobRecord) (asked bool, since time.Time) {
 	seen := map[*jobRecord]bool{}
 	for todo := []*jobRecord{t}; len(todo) > 0; {
 		t, todo = todo[len(todo)-1], todo[:len(todo)-1]
