--- a/cmd/lynxledge/cluster_test.go
+++ b/cmd/lynxledge/cluster_test.go
@@ -170,8 +170,8 @@
 		workers: &fakes.WorkerConn{Cloud: w.cloud, Net: w.net, Node: name, Timeout: 3 * time.Second},
 		peers:   w.pipes.Dial(name),
 	})
-	go n.mesh.Serve(w.pipes.Listen(name, cfg.MeshAddr), n.front.Handler())
-	w.up[name], w.doors[name] = cancel, n.front.Handler()
+	go n.mesh.Serve(w.pipes.Listen(name, cfg.MeshAddr), n.server.Handler())
+	w.up[name], w.doors[name] = cancel, n.server.Handler()
 }
 
 func (w *world) crash(name string) {
--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -78,13 +78,13 @@
 		peers:   new(net.Dialer).DialContext,
 	})
 	go func() {
-		if err := n.mesh.Serve(peers, n.front.Handler()); err != nil {
+		if err := n.mesh.Serve(peers, n.server.Handler()); err != nil {
 			slog.Error("mesh server ended", "err", err)
 		}
 	}()
 	connections := connlimit.New(sockets.inbound)
 	srv := &http.Server{
-		Handler:           connections.Handler(n.front.Handler()),
+		Handler:           connections.Handler(n.server.Handler()),
 		ConnState:         connections.ConnState,
 		ReadHeaderTimeout: 4 * report,
 		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
@@ -108,8 +108,8 @@
 
 // node is a controller's actors that take requests.
 type node struct {
-	front *apiserver.Server
-	mesh  *mesh.Mesh
+	server *apiserver.Server
+	mesh   *mesh.Mesh
 }
 
 // assemble starts a controller's actors. boot tells this process from its
