--- a/internal/apiserver/turns.go
+++ b/internal/apiserver/turns.go
@@ -12,6 +12,11 @@
 	maxRetryAfter = 30 * time.Second
 )
 
+// eagerness is how many users are told to come back for each that can be served then. Some
+// come later than they were told or go to another controller, and a turn that nobody takes
+// makes all others wait longer.
+const eagerness = 3
+
 // turnList spreads users who were refused over the time that it takes to serve them.
 // Told to come back in a second, all of them would do so again and again, and each
 // refusal takes processor time that serving them needs.
@@ -27,7 +32,7 @@
 	if t.last.Before(now) {
 		t.last = now
 	}
-	t.last = t.last.Add(time.Duration(float64(time.Second) / perSecond))
+	t.last = t.last.Add(time.Duration(float64(time.Second) / (perSecond * eagerness)))
 	if latest := now.Add(maxRetryAfter); t.last.After(latest) {
 		t.last = latest
 	}
