--- a/internal/apiserver/server.go
+++ b/internal/apiserver/server.go
@@ -173,10 +173,22 @@
 	refuseForNow(w, errNoState.Error())
 }
 
-func (f *Server) poll(w http.ResponseWriter, r *http.Request) {
-	id := chi.URLParam(r, "id")
+// noSuchJob refuses questions about jobs that were never accepted.
+const noSuchJob = "no such job"
+
+// jobIn is the id of the job that a request names; false if it was answered already.
+func jobIn(w http.ResponseWriter, r *http.Request) (id string, ok bool) {
+	id = chi.URLParam(r, "id")
 	if !wire.ValidJobID(id) {
-		refuse(w, http.StatusNotFound, "no such job")
+		refuse(w, http.StatusNotFound, noSuchJob)
+		return "", false
+	}
+	return id, true
+}
+
+func (f *Server) poll(w http.ResponseWriter, r *http.Request) {
+	id, ok := jobIn(w, r)
+	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), answerWait)
@@ -186,7 +198,7 @@
 	case err != nil:
 		f.relay(ctx, w, r, nil)
 	case !l.known:
-		refuse(w, http.StatusNotFound, "no such job")
+		refuse(w, http.StatusNotFound, noSuchJob)
 	default:
 		answer(w, http.StatusOK, l.status)
 	}
@@ -207,9 +219,8 @@
 }
 
 func (f *Server) abort(w http.ResponseWriter, r *http.Request) {
-	id := chi.URLParam(r, "id")
-	if !wire.ValidJobID(id) {
-		refuse(w, http.StatusNotFound, "no such job")
+	id, ok := jobIn(w, r)
+	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), answerWait)
@@ -225,7 +236,7 @@
 				break
 			}
 			if !l.known {
-				refuse(w, http.StatusNotFound, "no such job")
+				refuse(w, http.StatusNotFound, noSuchJob)
 				return
 			}
 		}
--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -84,6 +84,10 @@
 // its value.
 const WriteBytes = 120
 
+// RecordsBytes is what the records of one transaction may take; the rest of the body's
+// limit is for guards, and for what the parts of a record that is split repeat.
+const RecordsBytes = wire.MaxBody * 9 / 10
+
 // txnBytes is at most the size of a transaction's body.
 func txnBytes(txn *wire.Txn) int {
 	n := WriteBytes
--- a/internal/ledger/split.go
+++ b/internal/ledger/split.go
@@ -32,9 +32,9 @@
 // groups, at most maxParts, which the result lists. The group keeps its key and the
 // rest. Nothing is changed if that can't be done.
 //
-// The caller commits all records in one transaction that is guarded on every hand
-// record (HandStamps, GuardHands): a controller to which teams are handed later has seen the
-// machines move, so it misses nothing that is bound to them.
+// The caller commits all records in one transaction that is guarded on every assignment
+// (AssignmentStamps, GuardAssignments): a controller that teams are assigned to later has
+// seen the machines move, so it misses nothing that is bound to them.
 func (d *Draft) Split(limit, maxParts int) ([]*Draft, error) {
 	for fill := splitFill; ; fill += splitFillStep {
 		rest := *d
@@ -139,8 +139,8 @@
 // AssignmentStamps are the stamps of all assignments, by team.
 func (v *View) AssignmentStamps() map[string]uint64 {
 	stamps := make(map[string]uint64, len(v.Assignments))
-	for team, hand := range v.Assignments {
-		stamps[team] = hand.Stamp
+	for team, assignment := range v.Assignments {
+		stamps[team] = assignment.Stamp
 	}
 	return stamps
 }
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -235,7 +235,7 @@
 	if w.job.Spec.Rank >= wire.RankHigh {
 		fill = urgentFill
 	}
-	if d.size+ledger.TaskBytes(w.id) > p.valueBytes(fill) || r.bytes() > bodyBytes {
+	if d.size+ledger.TaskBytes(w.id) > p.valueBytes(fill) || r.bytes() > ledger.RecordsBytes {
 		node.Open = false // in this round
 		if len(d.Machines) > 1 && d.Kept() > p.valueBytes(crowdedAt) {
 			p.fullRecords[d.Name] = true // full before its machines are
--- a/internal/place/transaction.go
+++ b/internal/place/transaction.go
@@ -91,7 +91,7 @@
 }
 
 // full: no more groups can be written.
-func (r *round) full() bool { return r.ops() >= r.limit || r.bytes() >= bodyBytes }
+func (r *round) full() bool { return r.ops() >= r.limit || r.bytes() >= ledger.RecordsBytes }
 
 // bytes is at most the size of the commit. Records may have a size at which a
 // transaction reaches the limit of a body long before that of its writes.
@@ -110,9 +110,6 @@
 // cancelledJobBytes is the most that the record of a cancelled job takes.
 const cancelledJobBytes = 1024
 
-// bodyBytes is the part of a body's limit that a commit may fill.
-const bodyBytes = wire.MaxBody * 9 / 10
-
 // guardable tells whether more jobs can be guarded: a transaction may have four
 // guards for each write; each write needs one of its own, and so may every team's hand
 // record.
@@ -131,7 +128,7 @@
 	}
 	d := &draft{Draft: p.view.Draft(group)}
 	d.size = d.Size()
-	if len(r.drafts) > 0 && r.bytes()+d.size > bodyBytes {
+	if len(r.drafts) > 0 && r.bytes()+d.size > ledger.RecordsBytes {
 		return nil
 	}
 	r.drafts[group] = d
--- a/internal/rent/edits.go
+++ b/internal/rent/edits.go
@@ -6,7 +6,6 @@
 
 	"lynxledge/internal/config"
 	"lynxledge/internal/ledger"
-	"lynxledge/wire"
 )
 
 // edit is what the leader wants written of a machine.
@@ -25,10 +24,6 @@
 	// editPause, in passes, lets edits of one group come together.
 	editPause = 0.02
 
-	// editBodyBytes is what the records of one transaction may take; the rest of the
-	// body's limit is for what the parts of a record that is split repeat.
-	editBodyBytes = wire.MaxBody * 9 / 10
-
 	// whyIdle is the one reason for which a machine is returned only as it was
 	// seen: with nothing bound to it.
 	whyIdle = "idle"
@@ -153,7 +148,7 @@
 			}
 			d := r.view.Draft(b.Group)
 			size := d.Size() + editBytes*len(d.Machines)
-			if len(batch.groups) > 0 && bytes+size > editBodyBytes {
+			if len(batch.groups) > 0 && bytes+size > ledger.RecordsBytes {
 				continue
 			}
 			bytes += size
