--- a/cmd/lynxledge/meetings_test.go
+++ b/cmd/lynxledge/combined_failures_test.go
@@ -13,8 +13,8 @@
 	"lynxledge/wire"
 )
 
-// meeting is two troubles that meet. docs/meetings.md has a row for each.
-type meeting struct {
+// combinedFailure is two failures at once. docs/combined-failures.md has a row for each.
+type combinedFailure struct {
 	name string
 	// play begins on a cluster that runs the opening's work.
 	play func(t *testing.T, w *world)
@@ -100,7 +100,7 @@
 	w.pass(20 * time.Second)
 }
 
-var meetings = []meeting{
+var combinedFailures = []combinedFailure{
 	{"gap", gap},
 	{"all controllers away for longer than a lease", func(_ *testing.T, w *world) {
 		for _, n := range w.nodes {
@@ -314,11 +314,11 @@
 	}},
 }
 
-// TestMeetings brings about two troubles at once, each meeting with several
+// TestCombinedFailures brings about two failures at once, each combination with several
 // seeds. No rule breaks; once all troubles are over nothing is forgotten, left
 // waiting beside room, or unfinished.
-func TestMeetings(t *testing.T) {
-	for _, m := range meetings {
+func TestCombinedFailures(t *testing.T) {
+	for _, m := range combinedFailures {
 		t.Run(m.name, func(t *testing.T) {
 			for seed := range uint64(3) {
 				synctest.Test(t, func(t *testing.T) {
