--- a/cmd/lynxledge/cluster_test.go
+++ b/cmd/lynxledge/cluster_test.go
@@ -20,6 +20,7 @@
 
 	_ "lynxledge/internal/seeded"
 
+	"lynxledge/internal/actor"
 	"lynxledge/internal/config"
 	"lynxledge/internal/fakes"
 	"lynxledge/internal/ledger"
@@ -70,21 +71,22 @@
 
 // world is a cluster of this program over the fakes.
 type world struct {
-	ctx   context.Context
-	cfg   *config.Config
-	rules *fakes.Rules
-	state *fakes.State
-	net   *fakes.Net
-	cloud *fakes.Cloud
-	pipes *fakes.Pipes
-	nodes []string
-	up    map[string]context.CancelFunc
-	doors map[string]http.Handler
-	rng   *rand.Rand
-	jobs  int
-	known []*wire.Job
-	types []wire.MachineType
-	next  *config.StateNext // limits that controllers started from now on know of
+	ctx        context.Context
+	cfg        *config.Config
+	rules      *fakes.Rules
+	state      *fakes.State
+	net        *fakes.Net
+	cloud      *fakes.Cloud
+	pipes      *fakes.Pipes
+	nodes      []string
+	up         map[string]context.CancelFunc
+	doors      map[string]http.Handler
+	nodeActors map[string][]*actor.Actor
+	rng        *rand.Rand
+	jobs       int
+	known      []*wire.Job
+	types      []wire.MachineType
+	next       *config.StateNext // limits that controllers started from now on know of
 }
 
 // scale is the size of a cluster.
@@ -110,7 +112,7 @@
 	w := &world{
 		ctx: ctx, cfg: cfg, rules: fakes.NewRules(cfg.Params), state: fakes.NewState(),
 		net: fakes.NewNet(seed, 5*time.Millisecond),
-		up:  map[string]context.CancelFunc{}, doors: map[string]http.Handler{}, rng: rand.New(rand.NewPCG(seed, 9)), types: size.types,
+		up:  map[string]context.CancelFunc{}, doors: map[string]http.Handler{}, nodeActors: map[string][]*actor.Actor{}, rng: rand.New(rand.NewPCG(seed, 9)), types: size.types,
 	}
 	w.pipes = fakes.NewPipes(w.net)
 	for i := range size.nodes {
@@ -171,6 +173,7 @@
 		peers:   w.pipes.Dial(name),
 	})
 	go n.mesh.Serve(w.pipes.Listen(name, cfg.MeshAddr), n.server.Handler())
+	w.nodeActors[name] = n.actors
 	w.up[name], w.doors[name] = cancel, n.server.Handler()
 }
 
@@ -371,6 +374,26 @@
 	}
 }
 
+// stall has a controller's process stand still for a while: what reaches it waits, and what
+// it meant to do it does late.
+func (w *world) stall(node string, d time.Duration) {
+	if w.up[node] == nil {
+		return
+	}
+	for _, a := range w.nodeActors[node] {
+		a.Post(func() { time.Sleep(d) })
+	}
+}
+
+// placer names the controller that places, or any if there is none.
+func (w *world) placer() string {
+	var a ledger.Assignment
+	if raw := w.state.Value(ledger.Key(ledger.KindAssignment, "red")); raw != nil && json.Unmarshal(raw, &a) == nil {
+		return a.Member
+	}
+	return w.nodes[0]
+}
+
 // leader names the controller whose record leads, or any if there is none.
 func (w *world) leader() string {
 	var l ledger.Leader
--- a/cmd/lynxledge/combined_failures_test.go
+++ b/cmd/lynxledge/combined_failures_test.go
@@ -312,6 +312,31 @@
 		w.state.SetDown(true)
 		w.pass(75 * time.Second)
 	}},
+	{"process stands still beyond every lease while its jobs are cancelled elsewhere", func(t *testing.T, w *world) {
+		old := w.placer()
+		w.gather(old)
+		w.stall(old, 40*time.Second)
+		w.pass(time.Second)
+		for _, id := range longJobs {
+			if !w.cancel(id, w.others(old)...) {
+				t.Errorf("%s: cancellation not confirmed", id)
+			}
+		}
+		w.pass(70 * time.Second)
+		if on := w.rules.On(longJobs...); on > 0 {
+			t.Errorf("%d cancelled tasks are still on machines", on)
+		}
+	}},
+	{"leader and placing controller stand still for seconds, again and again", func(t *testing.T, w *world) {
+		for i := range 6 {
+			w.stall(w.leader(), time.Duration(2+i)*time.Second)
+			w.stall(w.placer(), time.Duration(7-i)*time.Second)
+			w.array(fmt.Sprintf("req-00001%d", i), "blue", 3, 10*time.Second, nil)
+			w.cancel(longJobs[i%2], w.nodes...)
+			w.pass(6 * time.Second)
+		}
+		w.pass(30 * time.Second)
+	}},
 }
 
 // TestCombinedFailures brings about two failures at once, each combination with several
--- a/cmd/lynxledge/run.go
+++ b/cmd/lynxledge/run.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"lynxledge/internal/actor"
 	"lynxledge/internal/apiserver"
 	"lynxledge/internal/cloud"
 	"lynxledge/internal/config"
@@ -110,6 +111,7 @@
 type node struct {
 	server *apiserver.Server
 	mesh   *mesh.Mesh
+	actors []*actor.Actor // all that own state
 }
 
 // assemble starts a controller's actors. boot tells this process from its
@@ -141,7 +143,7 @@
 	rep.Heard(renter.Heard)
 	msh.OnHeard(renter.Heard)
 	msh.OnObservation(func(n place.Observation) { placer.Observe(n, 0) })
-	election.Start(ctx, to.state, led, election.Options{
+	elect := election.Start(ctx, to.state, led, election.Options{
 		Name: cfg.Name, Boot: boot, TTL: time.Duration(float64(report) * ops.MemberLease),
 		Teams: teams(p.Teams), MaxOps: p.State.Ops(), Chunk: chunk,
 	})
@@ -151,7 +153,11 @@
 	catalog.Subscribe(renter.SetTypes)
 	go catalog.Run(ctx, 12*config.Secs(ops.PassS), report/3)
 	led.Run()
-	return node{front, msh}
+	return node{
+		server: front,
+		mesh:   msh,
+		actors: []*actor.Actor{led.Actor, msh.Actor, rep.Actor, placer.Actor, front.Actor, renter.Actor, elect.Actor, catalog.Actor},
+	}
 }
 
 // jobMemoryShare is the part of the memory that jobs which are over may take before
