--- a/internal/apiserver/submit.go
+++ b/internal/apiserver/submit.go
@@ -192,7 +192,14 @@
 	})
 	switch {
 	case ok && out == ledger.Committed:
-		slog.Debug("job accepted", "job", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks, "image", j.Image, "gb", j.ImageGB, "expect_s", j.EstimateS)
+		slog.Debug("job accepted",
+			"job", j.ID,
+			"class", j.Class,
+			"team", j.Team,
+			"tasks", j.Tasks,
+			"image", j.Image,
+			"gb", j.ImageGB,
+			"expect_s", j.EstimateS)
 		status := wire.JobStatus{ID: j.ID, State: wire.JobQueued}
 		if l, ok := f.look(j.ID); ok && l.known { // it may name a job that is cancelled
 			status = l.status
--- a/internal/fakes/net.go
+++ b/internal/fakes/net.go
@@ -38,8 +38,15 @@
 
 // NewNet makes a network with a seed.
 func NewNet(seed uint64, delay time.Duration) *Net {
-	return &Net{rng: rand.New(rand.NewPCG(seed, 7)), cuts: map[string]*cut{}, pairs: map[[2]string]*cut{}, deaf: map[string]bool{}, mute: map[string]bool{},
-		slow: map[string]time.Duration{}, delay: delay}
+	return &Net{
+		rng:   rand.New(rand.NewPCG(seed, 7)),
+		cuts:  map[string]*cut{},
+		pairs: map[[2]string]*cut{},
+		deaf:  map[string]bool{},
+		mute:  map[string]bool{},
+		slow:  map[string]time.Duration{},
+		delay: delay,
+	}
 }
 
 // Cut separates a host from all others, or from one when other is not empty.
--- a/internal/fakes/rules.go
+++ b/internal/fakes/rules.go
@@ -44,7 +44,14 @@
 
 // NewRules makes a checker.
 func NewRules(p config.Params) *Rules {
-	r := &Rules{teams: map[string]config.Team{}, cancelS: config.Secs(p.Workers.CancelS), jobs: map[string]*jobRecord{}, on: map[string]wire.Host{}, used: map[string]float64{}, free: map[string]*freeRoom{}}
+	r := &Rules{
+		teams:   map[string]config.Team{},
+		cancelS: config.Secs(p.Workers.CancelS),
+		jobs:    map[string]*jobRecord{},
+		on:      map[string]wire.Host{},
+		used:    map[string]float64{},
+		free:    map[string]*freeRoom{},
+	}
 	for _, t := range p.Teams {
 		r.teams[t.Name] = t
 	}
--- a/internal/place/bench_test.go
+++ b/internal/place/bench_test.go
@@ -4,12 +4,9 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"testing"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"lynxledge/internal/config"
 	"lynxledge/internal/ledger"
 	"lynxledge/wire"
@@ -33,33 +30,10 @@
 	cfg.Params.Workers = config.Workers{ReportS: 8, LeaseS: 44, CancelS: 74}
 	cfg.Params.State = config.State{ValueKB: 4, TxnOps: 8, RPS: 200, WriteRPS: 20}
 	cfg.Params.Teams = []config.Team{{Name: "red"}}
-	p := &Placer{
-		cfg:                 cfg,
-		boot:                1,
-		rng:                 rand.New(rand.NewPCG(1, 1)),
-		pace:                rate.NewLimiter(rate.Inf, 8),
-		othersWrites:        writeMeter{window: 8 * time.Second},
-		view:                ledger.NewRunningView(ledger.ChunkTasks(4)),
-		types:               map[string]*wire.MachineType{"s": {Name: "s", CPUs: 4, MemoryGB: 32, Zones: []string{"a"}}},
-		offers:              Offers{"a": 1},
-		active:              map[string]*ledger.Job{},
-		runs:                NewEstimates(),
-		low:                 map[string]int{},
-		images:              map[string][]image{},
-		failed:              map[string]*failure{},
-		unreliable:          map[string]time.Time{},
-		gaveWay:             map[string]time.Time{},
-		nodes:               map[string]*Node{},
-		pools:               map[pool]poolStock{},
-		starts:              map[string]*Node{},
-		tally:               Usage{},
-		observations:        map[string]map[string]*pendingObservation{},
-		completeSince:       map[string]time.Time{},
-		largeRecords:        map[string]bool{},
-		fullRecords:         map[string]bool{},
-		cancelledDependents: map[string]*ledger.Job{},
-		scheduled:           true, // rounds are begun by hand
-	}
+	p := newPlacer(cfg, 1)
+	p.types["s"] = &wire.MachineType{Name: "s", CPUs: 4, MemoryGB: 32, Zones: []string{"a"}}
+	p.offers = Offers{"a": 1}
+	p.scheduled = true // rounds are begun by hand
 	at := time.Now().UnixMilli()
 	changes := []ledger.Change{{Kind: ledger.KindAssignment, Name: "red", Rec: &ledger.Assignment{Member: "n0", Boot: 1}}}
 	jobs := machines/machinesPerJob + 1
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -8,46 +8,10 @@
 	"slices"
 	"time"
 
-	"lynxledge/internal/config"
 	"lynxledge/internal/ledger"
 	"lynxledge/wire"
 )
 
-// Resources is an amount of a machine.
-type Resources struct{ CPUs, GPUs, Mem float64 }
-
-// RequestOf is what a task of a job takes.
-func RequestOf(j *wire.Job) Resources { return Resources{j.CPUs, j.GPUs, j.MemoryGB} }
-
-// Capacity is what a machine of a type has.
-func Capacity(t *wire.MachineType) Resources { return Resources{t.CPUs, t.GPUs, t.MemoryGB} }
-
-const slack = 1e-6 // sums of decimal amounts
-
-// Plus adds o n times.
-func (r Resources) Plus(o Resources, n float64) Resources {
-	return Resources{r.CPUs + n*o.CPUs, r.GPUs + n*o.GPUs, r.Mem + n*o.Mem}
-}
-
-// Fits tells whether r is within limit.
-func (r Resources) Fits(limit Resources) bool {
-	return r.CPUs <= limit.CPUs+slack && r.GPUs <= limit.GPUs+slack && r.Mem <= limit.Mem+slack
-}
-
-// Share is the largest share that r takes of a machine.
-func (r Resources) Share(machine Resources) float64 {
-	s := 0.0
-	for _, p := range [][2]float64{{r.CPUs, machine.CPUs}, {r.GPUs, machine.GPUs}, {r.Mem, machine.Mem}} {
-		switch {
-		case p[1] > 0:
-			s = math.Max(s, p[0]/p[1])
-		case p[0] > 0:
-			return math.Inf(1)
-		}
-	}
-	return s
-}
-
 // Allowed tells whether a job's tasks may run on a type, in a zone and on a
 // kind of machine at all.
 func Allowed(j *wire.Job, typ, zone string, spot bool) bool {
@@ -91,23 +55,6 @@
 	return n.Open && n.Used.CPUs < n.Type.CPUs-slack && (n.Type.MemoryGB == 0 || n.Used.Mem < n.Type.MemoryGB-slack)
 }
 
-// Usage is what a team's tasks use until they are proved gone.
-type Usage map[string]Resources
-
-// WithinLimit tells whether a team may take more.
-func (t Usage) WithinLimit(team config.Team, more Resources) bool {
-	u := t[team.Name].Plus(more, 1)
-	return (team.CPUsMax == 0 || u.CPUs <= team.CPUsMax+slack) &&
-		(team.GPUsMax == 0 || u.GPUs <= team.GPUsMax+slack)
-}
-
-// WithinGuarantee tells whether a team with more still has no more than it is
-// guaranteed.
-func (t Usage) WithinGuarantee(team config.Team, more Resources) bool {
-	u := t[team.Name].Plus(more, 1)
-	return u.CPUs <= team.CPUs+slack && u.GPUs <= team.GPUs+slack
-}
-
 // Zones counts a job's tasks by zone, those that are stopping included.
 type Zones map[string]int
 
@@ -214,127 +161,3 @@
 	}
 	return s
 }
-
-// Victims is a set of tasks to stop on a node so that another fits.
-type Victims struct {
-	Node  *Node
-	Tasks []int // indices into Node.Tasks
-	Cost  float64
-}
-
-// Preempt finds the cheapest set of tasks to stop for a task of job j. Work
-// of lower priority may go; with the team inside its guarantee so may work of any
-// priority that another team runs beyond its own. Nothing else may.
-func Preempt(j *wire.Job, zones Zones, offers Offers, nodes []*Node, tally Usage, team func(string) config.Team) *Victims {
-	var best *Victims
-	bestScore := 0.0
-	need := RequestOf(j)
-	guaranteed := tally.WithinGuarantee(team(j.Team), need)
-	for _, n := range nodes {
-		if !Allowed(j, n.Type.Name, n.Zone, n.Spot) || !zones.Allows(j, n.Zone) {
-			continue
-		}
-		v := victims(j, n, need, guaranteed, tally, team)
-		if v == nil {
-			continue
-		}
-		if s := score(j, zones, offers, n, Capacity(n.Type)); best == nil || s-bestScore < -1 || s-bestScore < 1 && v.Cost < best.Cost {
-			best, bestScore = v, s
-		}
-	}
-	return best
-}
-
-func victims(j *wire.Job, n *Node, need Resources, guaranteed bool, tally Usage, team func(string) config.Team) *Victims {
-	limit := Capacity(n.Type)
-	type candidate struct {
-		i    int
-		cost float64
-	}
-	var cands []candidate
-	for i, t := range n.Tasks {
-		if t.Job == nil || t.Stops {
-			continue
-		}
-		lower := t.Job.Rank < j.Rank
-		if !lower && (!guaranteed || t.Guaranteed || t.Job.Team == j.Team) {
-			continue
-		}
-		lost := t.Spent
-		if t.Job.CheckpointS > 0 {
-			lost = math.Min(lost, t.Job.CheckpointS)
-		}
-		if t.Job.Service() {
-			lost += 60 // a replica's users notice
-		} else if t.Last {
-			lost += t.Job.EstimateS
-		}
-		cands = append(cands, candidate{i, (1 + lost) * t.Job.CPUs * float64(1+3*t.Job.Rank)})
-	}
-	slices.SortFunc(cands, func(a, b candidate) int {
-		if a.cost < b.cost {
-			return -1
-		}
-		if a.cost > b.cost {
-			return 1
-		}
-		return a.i - b.i
-	})
-	v := &Victims{Node: n}
-	used := n.Used
-	left := Usage{}
-	for _, c := range cands {
-		if used.Plus(need, 1).Fits(limit) {
-			break
-		}
-		t := n.Tasks[c.i]
-		if t.Job.Rank >= j.Rank {
-			// Stopping it must leave its team with its guarantee.
-			owner := team(t.Job.Team)
-			u, ok := left[owner.Name]
-			if !ok {
-				u = tally[owner.Name]
-			}
-			if u.CPUs <= owner.CPUs+slack && u.GPUs <= owner.GPUs+slack {
-				continue
-			}
-			left[owner.Name] = u.Plus(RequestOf(t.Job), -1)
-		}
-		used = used.Plus(RequestOf(t.Job), -1)
-		v.Tasks = append(v.Tasks, c.i)
-		v.Cost += c.cost
-	}
-	if len(v.Tasks) == 0 || !used.Plus(need, 1).Fits(limit) {
-		return nil
-	}
-	return v
-}
-
-// Move finds a replica that could as well run in another zone, where there is
-// room for it, and whose going makes room for a task that must spread into
-// its zone. The replica is stopped to be placed again.
-func Move(j *wire.Job, zones Zones, nodes []*Node) *Victims {
-	if !j.Spread || !j.Service() {
-		return nil
-	}
-	need := RequestOf(j)
-	for _, n := range nodes {
-		if !Allowed(j, n.Type.Name, n.Zone, n.Spot) || !zones.Allows(j, n.Zone) {
-			continue
-		}
-		elsewhere := slices.DeleteFunc(slices.Clone(nodes), func(o *Node) bool { return o.Zone == n.Zone })
-		for i, t := range n.Tasks {
-			if t.Job == nil || t.Stops || !t.Job.Service() || t.Job.Spread && t.Job.Tasks > 1 || t.Job.CheckpointS > 0 {
-				continue
-			}
-			if !n.Used.Plus(RequestOf(t.Job), -1).Plus(need, 1).Fits(Capacity(n.Type)) {
-				continue
-			}
-			if to := Pick(t.Job, Zones{}, Offers{}, elsewhere); to != nil && to.Image(t.Job.Image) {
-				to.Used = to.Used.Plus(RequestOf(t.Job), 1) // one room is not for two
-				return &Victims{Node: n, Tasks: []int{i}}
-			}
-		}
-	}
-	return nil
-}
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -72,20 +72,45 @@
 
 // Start runs a placer. report must not wait for the placer.
 func Start(ctx context.Context, cfg *config.Config, boot uint64, l *ledger.Ledger, w Commander, report func(*wire.Report)) *Placer {
+	p := newPlacer(cfg, boot)
+	p.Actor = actor.Start(ctx, "placer", 512)
+	p.ctx = ctx
+	p.ledger = l
+	p.worker = w
+	p.report = report
+	l.Subscribe(func(d ledger.Delta) { p.Send(func() { p.apply(d) }) })
+	p.Every(p.reportS(1.0/6), p.schedule)
+	return p
+}
+
+// newPlacer makes a placer that knows nothing yet and does not run.
+func newPlacer(cfg *config.Config, boot uint64) *Placer {
 	s := cfg.Params.State
 	p := &Placer{
-		Actor: actor.Start(ctx, "placer", 512), ctx: ctx, cfg: cfg, boot: boot, ledger: l, worker: w,
-		report: report, rng: rand.New(rand.NewPCG(boot, 1)),
-		pace:  rate.NewLimiter(rate.Limit(s.WriteRPS*cfg.Ops.StateShare), s.Ops()),
-		view:  ledger.NewRunningView(ledger.ChunkTasks(s.ValueKB)),
-		types: map[string]*wire.MachineType{}, active: map[string]*ledger.Job{}, runs: NewEstimates(), low: map[string]int{},
-		images: map[string][]image{}, failed: map[string]*failure{}, unreliable: map[string]time.Time{}, gaveWay: map[string]time.Time{},
-		nodes: map[string]*Node{}, pools: map[pool]poolStock{}, starts: map[string]*Node{}, tally: Usage{},
-		observations: map[string]map[string]*pendingObservation{}, completeSince: map[string]time.Time{}, largeRecords: map[string]bool{}, fullRecords: map[string]bool{}, cancelledDependents: map[string]*ledger.Job{},
+		cfg:                 cfg,
+		boot:                boot,
+		rng:                 rand.New(rand.NewPCG(boot, 1)),
+		pace:                rate.NewLimiter(rate.Limit(s.WriteRPS*cfg.Ops.StateShare), s.Ops()),
+		view:                ledger.NewRunningView(ledger.ChunkTasks(s.ValueKB)),
+		types:               map[string]*wire.MachineType{},
+		active:              map[string]*ledger.Job{},
+		runs:                NewEstimates(),
+		low:                 map[string]int{},
+		images:              map[string][]image{},
+		failed:              map[string]*failure{},
+		unreliable:          map[string]time.Time{},
+		gaveWay:             map[string]time.Time{},
+		nodes:               map[string]*Node{},
+		pools:               map[pool]poolStock{},
+		starts:              map[string]*Node{},
+		tally:               Usage{},
+		observations:        map[string]map[string]*pendingObservation{},
+		completeSince:       map[string]time.Time{},
+		largeRecords:        map[string]bool{},
+		fullRecords:         map[string]bool{},
+		cancelledDependents: map[string]*ledger.Job{},
 	}
 	p.othersWrites.window = p.reportS(meterReports)
-	l.Subscribe(func(d ledger.Delta) { p.Send(func() { p.apply(d) }) })
-	p.Every(p.reportS(1.0/6), p.schedule)
 	return p
 }
 
--- /dev/null
+++ b/internal/place/victims.go
@@ -0,0 +1,133 @@
+package place
+
+import (
+	"math"
+	"slices"
+
+	"lynxledge/internal/config"
+	"lynxledge/wire"
+)
+
+// Victims is a set of tasks to stop on a node so that another fits.
+type Victims struct {
+	Node  *Node
+	Tasks []int // indices into Node.Tasks
+	Cost  float64
+}
+
+// Preempt finds the cheapest set of tasks to stop for a task of job j. Work
+// of lower priority may go; with the team inside its guarantee so may work of any
+// priority that another team runs beyond its own. Nothing else may.
+func Preempt(j *wire.Job, zones Zones, offers Offers, nodes []*Node, tally Usage, team func(string) config.Team) *Victims {
+	var best *Victims
+	bestScore := 0.0
+	need := RequestOf(j)
+	guaranteed := tally.WithinGuarantee(team(j.Team), need)
+	for _, n := range nodes {
+		if !Allowed(j, n.Type.Name, n.Zone, n.Spot) || !zones.Allows(j, n.Zone) {
+			continue
+		}
+		v := victims(j, n, need, guaranteed, tally, team)
+		if v == nil {
+			continue
+		}
+		if s := score(j, zones, offers, n, Capacity(n.Type)); best == nil || s-bestScore < -1 || s-bestScore < 1 && v.Cost < best.Cost {
+			best, bestScore = v, s
+		}
+	}
+	return best
+}
+
+func victims(j *wire.Job, n *Node, need Resources, guaranteed bool, tally Usage, team func(string) config.Team) *Victims {
+	limit := Capacity(n.Type)
+	type candidate struct {
+		i    int
+		cost float64
+	}
+	var cands []candidate
+	for i, t := range n.Tasks {
+		if t.Job == nil || t.Stops {
+			continue
+		}
+		lower := t.Job.Rank < j.Rank
+		if !lower && (!guaranteed || t.Guaranteed || t.Job.Team == j.Team) {
+			continue
+		}
+		lost := t.Spent
+		if t.Job.CheckpointS > 0 {
+			lost = math.Min(lost, t.Job.CheckpointS)
+		}
+		if t.Job.Service() {
+			lost += 60 // a replica's users notice
+		} else if t.Last {
+			lost += t.Job.EstimateS
+		}
+		cands = append(cands, candidate{i, (1 + lost) * t.Job.CPUs * float64(1+3*t.Job.Rank)})
+	}
+	slices.SortFunc(cands, func(a, b candidate) int {
+		if a.cost < b.cost {
+			return -1
+		}
+		if a.cost > b.cost {
+			return 1
+		}
+		return a.i - b.i
+	})
+	v := &Victims{Node: n}
+	used := n.Used
+	left := Usage{}
+	for _, c := range cands {
+		if used.Plus(need, 1).Fits(limit) {
+			break
+		}
+		t := n.Tasks[c.i]
+		if t.Job.Rank >= j.Rank {
+			// Stopping it must leave its team with its guarantee.
+			owner := team(t.Job.Team)
+			u, ok := left[owner.Name]
+			if !ok {
+				u = tally[owner.Name]
+			}
+			if u.CPUs <= owner.CPUs+slack && u.GPUs <= owner.GPUs+slack {
+				continue
+			}
+			left[owner.Name] = u.Plus(RequestOf(t.Job), -1)
+		}
+		used = used.Plus(RequestOf(t.Job), -1)
+		v.Tasks = append(v.Tasks, c.i)
+		v.Cost += c.cost
+	}
+	if len(v.Tasks) == 0 || !used.Plus(need, 1).Fits(limit) {
+		return nil
+	}
+	return v
+}
+
+// Move finds a replica that could as well run in another zone, where there is
+// room for it, and whose going makes room for a task that must spread into
+// its zone. The replica is stopped to be placed again.
+func Move(j *wire.Job, zones Zones, nodes []*Node) *Victims {
+	if !j.Spread || !j.Service() {
+		return nil
+	}
+	need := RequestOf(j)
+	for _, n := range nodes {
+		if !Allowed(j, n.Type.Name, n.Zone, n.Spot) || !zones.Allows(j, n.Zone) {
+			continue
+		}
+		elsewhere := slices.DeleteFunc(slices.Clone(nodes), func(o *Node) bool { return o.Zone == n.Zone })
+		for i, t := range n.Tasks {
+			if t.Job == nil || t.Stops || !t.Job.Service() || t.Job.Spread && t.Job.Tasks > 1 || t.Job.CheckpointS > 0 {
+				continue
+			}
+			if !n.Used.Plus(RequestOf(t.Job), -1).Plus(need, 1).Fits(Capacity(n.Type)) {
+				continue
+			}
+			if to := Pick(t.Job, Zones{}, Offers{}, elsewhere); to != nil && to.Image(t.Job.Image) {
+				to.Used = to.Used.Plus(RequestOf(t.Job), 1) // one room is not for two
+				return &Victims{Node: n, Tasks: []int{i}}
+			}
+		}
+	}
+	return nil
+}
--- a/internal/rent/hire.go
+++ b/internal/rent/hire.go
@@ -58,7 +58,13 @@
 	}, func(out ledger.Outcome) {
 		delete(r.hiring, name)
 		if out == ledger.Committed {
-			slog.Info("renting", "hire", name, "type", want.Type, "zone", want.Zone, "spot", want.Spot, "count", want.Count, "load", math.Round(want.Load*100)/100)
+			slog.Info("renting",
+				"hire", name,
+				"type", want.Type,
+				"zone", want.Zone,
+				"spot", want.Spot,
+				"count", want.Count,
+				"load", math.Round(want.Load*100)/100)
 			r.hire(name, intent)
 		}
 	})
@@ -72,15 +78,15 @@
 	}
 	r.hiring[name] = poolOf(intent)
 	go func() {
-		nests, err := r.cloud.Hire(r.ctx, wire.HireRequest{
+		machines, err := r.cloud.Hire(r.ctx, wire.HireRequest{
 			Request: fmt.Sprintf("%s-%d", name, intent.Batch), Type: intent.Type, Zone: intent.Zone, Spot: intent.Spot,
 			Count: min(intent.Count, wire.MaxHire),
 		})
-		r.Send(func() { r.hired(name, intent, nests, err) })
+		r.Send(func() { r.hired(name, intent, machines, err) })
 	}()
 }
 
-func (r *Renter) hired(name string, intent *ledger.Rent, nests []string, err error) {
+func (r *Renter) hired(name string, intent *ledger.Rent, machines []string, err error) {
 	pool := poolOf(intent)
 	none := errors.Is(err, cloud.ErrNoCapacity) || errors.Is(err, cloud.ErrMalformed)
 	if err != nil && !none {
@@ -92,16 +98,23 @@
 		delete(r.hiring, name)
 		return
 	}
-	slices.Sort(nests)
+	slices.Sort(machines)
 	asked := min(intent.Count, wire.MaxHire)
-	left, short := intent.Count-asked, none || len(nests) < asked
+	left, short := intent.Count-asked, none || len(machines) < asked
 	if short {
 		r.refused[pool] = time.Now().Add(config.Secs(r.cfg.Ops.PassS * refusalPasses))
 		r.giveUpBoots(pool)
-		slog.Info("cloud gave less", "hire", name, "batch", intent.Batch, "type", intent.Type, "zone", intent.Zone, "spot", intent.Spot, "asked", intent.Count, "got", len(nests))
+		slog.Info("cloud gave less",
+			"hire", name,
+			"batch", intent.Batch,
+			"type", intent.Type,
+			"zone", intent.Zone,
+			"spot", intent.Spot,
+			"asked", intent.Count,
+			"got", len(machines))
 		left = 0
 	}
-	r.record(name, intent, left, nests, short)
+	r.record(name, intent, left, machines, short)
 }
 
 // giveUpBoots returns the machines of a pool whose boots drag on: while they
@@ -128,8 +141,8 @@
 // into another since, and a late copy of the commit that made it would bring its
 // machines back with nothing bound to them. short tells that the cloud had fewer
 // than were asked for.
-func (r *Renter) record(name string, intent *ledger.Rent, left int, nests []string, short bool) {
-	rest := slices.DeleteFunc(nests, func(m string) bool {
+func (r *Renter) record(name string, intent *ledger.Rent, left int, machines []string, short bool) {
+	rest := slices.DeleteFunc(machines, func(m string) bool {
 		_, returned := r.deleted[m]
 		return returned || !wire.ValidMachine(m) || r.view.Machines[m] != nil
 	})
--- a/internal/rent/survey.go
+++ b/internal/rent/survey.go
@@ -75,7 +75,9 @@
 		group := ledger.AdoptedName(id)
 		key := ledger.Key(ledger.KindBind, group)
 		c.Guards = append(c.Guards, wire.Guard{Key: key})
-		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: ledger.NewGroup(group, h.Type, h.Zone, h.Spot, now.UnixMilli()-int64(h.AgeS*1000), []string{id}, ledger.Token(r.term))})
+		rentedAt := now.UnixMilli() - int64(h.AgeS*1000)
+		record := ledger.NewGroup(group, h.Type, h.Zone, h.Spot, rentedAt, []string{id}, ledger.Token(r.term))
+		c.Puts = append(c.Puts, ledger.Put{Key: key, Rec: record})
 	}
 	if len(c.Puts) > 0 {
 		r.commit(c, func(ledger.Outcome) {})
