--- a/cmd/lynxledge/sockets.go
+++ b/cmd/lynxledge/sockets.go
@@ -14,8 +14,17 @@
 	busyCommandsShare = 0.15 // commands under way, each of which may take one more
 )
 
+// Parts of a process's memory that open connections may take, and what one takes, as
+// measured: buffers and stacks.
+const (
+	inboundMemoryShare     = 0.20
+	idleCommandMemoryShare = 0.15
+	inboundBytes           = 16 << 10
+	idleCommandBytes       = 20 << 10
+)
+
 // socketBudget divides a process's sockets among what it does, so that nothing that
-// grows with the machines can take those that the rest needs.
+// grows with the machines can take the sockets or the memory that the rest needs.
 type socketBudget struct {
 	inbound      int
 	idleCommands int
@@ -24,15 +33,19 @@
 
 // socketsOf is the budget of a process. Without a limit nothing is bounded.
 func socketsOf(resources config.Resources) socketBudget {
-	if resources.FDLimit <= 0 {
-		return socketBudget{inbound: math.MaxInt, idleCommands: math.MaxInt16, busyCommands: math.MaxInt16}
+	sockets := socketBudget{inbound: math.MaxInt, idleCommands: math.MaxInt16, busyCommands: math.MaxInt16}
+	if limit := float64(resources.FDLimit); limit > 0 {
+		sockets.inbound = int(inboundShare * limit)
+		sockets.idleCommands = int(idleCommandShare * limit)
+		sockets.busyCommands = int(busyCommandsShare * limit)
 	}
-	share := func(part float64) int {
-		return max(1, int(part*float64(resources.FDLimit)))
+	if memory := resources.MemoryMB * (1 << 20); memory > 0 {
+		sockets.inbound = min(sockets.inbound, int(inboundMemoryShare*memory/inboundBytes))
+		sockets.idleCommands = min(sockets.idleCommands, int(idleCommandMemoryShare*memory/idleCommandBytes))
 	}
 	return socketBudget{
-		inbound:      share(inboundShare),
-		idleCommands: share(idleCommandShare),
-		busyCommands: share(busyCommandsShare),
+		inbound:      max(1, sockets.inbound),
+		idleCommands: max(1, sockets.idleCommands),
+		busyCommands: max(1, sockets.busyCommands),
 	}
 }
--- a/cmd/lynxledge/sockets_test.go
+++ b/cmd/lynxledge/sockets_test.go
@@ -116,3 +116,21 @@
 		}
 	}
 }
+
+// Connections take a bounded part of a small memory, and no fewer are kept for it where
+// there are few sockets anyhow.
+func TestSocketBudgetKeepsToTheMemory(t *testing.T) {
+	roomy := socketsOf(config.Resources{FDLimit: 4000, MemoryMB: 1000})
+	small := socketsOf(config.Resources{FDLimit: 4000, MemoryMB: 70})
+	used := float64(small.inbound*inboundBytes+small.idleCommands*idleCommandBytes) / (70 << 20)
+	if used > inboundMemoryShare+idleCommandMemoryShare {
+		t.Errorf("connections take %.2f of 70 MB", used)
+	}
+	if small.inbound >= roomy.inbound || small.idleCommands >= roomy.idleCommands {
+		t.Errorf("%+v with 70 MB, %+v with 1000", small, roomy)
+	}
+	few := config.Resources{FDLimit: 800, MemoryMB: 49}
+	if got, want := socketsOf(few), socketsOf(config.Resources{FDLimit: 800}); got != want {
+		t.Errorf("%+v with 49 MB and 800 sockets, %+v without a limit of memory", got, want)
+	}
+}
