--- a/internal/apiserver/turns.go
+++ b/internal/apiserver/turns.go
@@ -5,11 +5,12 @@
 	"time"
 )
 
-// The shortest and the longest time after which a user is told to come back. The protocol
-// has users heed no longer one.
+// The shortest and the longest time after which a user is told to come back. Who is told
+// to come back late and is refused again waits longest of all: a few seconds are enough to
+// keep a crowd from coming every second.
 const (
 	minRetryAfter = time.Second
-	maxRetryAfter = 30 * time.Second
+	maxRetryAfter = 4 * time.Second
 )
 
 // eagerness is how many users are told to come back for each that can be served then. Some
