Tests: machine types, benchmarked reports and cancelled long jobs stand once

Found on a last read: the fleets of 4,000 repeated the types of the smaller ones, a report with ends the loop of a report, and a combined failure the cancelling of the long jobs that others have. Assertions are the same.

--- a/cmd/lynxledge/combined_failures_test.go
+++ b/cmd/lynxledge/combined_failures_test.go
@@ -70,6 +70,24 @@
 
 var longJobs = []string{"req-000001", "req-000002"}
 
+// cancelLongJobs has the long jobs cancelled through the controllers named.
+func (w *world) cancelLongJobs(t *testing.T, through []string) {
+	t.Helper()
+	for _, id := range longJobs {
+		if !w.cancel(id, through...) {
+			t.Errorf("%s: cancellation not confirmed", id)
+		}
+	}
+}
+
+// expectLongJobsGone checks that no task of the long jobs is on a machine any more.
+func (w *world) expectLongJobsGone(t *testing.T) {
+	t.Helper()
+	if on := w.rules.On(longJobs...); on > 0 {
+		t.Errorf("%d cancelled tasks are still on machines", on)
+	}
+}
+
 // gather has every worker report to one controller.
 func (w *world) gather(node string) {
 	for _, n := range w.others(node) {
@@ -87,16 +105,10 @@
 	w.gather(old)
 	w.state.Refuse(old, true)
 	w.pass(time.Second)
-	for _, id := range longJobs {
-		if !w.cancel(id, w.others(old)...) {
-			t.Errorf("%s: cancellation not confirmed", id)
-		}
-	}
+	w.cancelLongJobs(t, w.others(old))
 	w.state.SetDown(true)
 	w.pass(70 * time.Second)
-	if on := w.rules.On(longJobs...); on > 0 {
-		t.Errorf("%d cancelled tasks are still on machines", on)
-	}
+	w.expectLongJobsGone(t)
 	w.pass(20 * time.Second)
 }
 
@@ -113,15 +125,9 @@
 		w.gather(old)
 		w.isolate(old)
 		w.pass(5 * time.Second)
-		for _, id := range longJobs {
-			if !w.cancel(id, w.others(old)...) {
-				t.Errorf("%s: cancellation not confirmed", id)
-			}
-		}
+		w.cancelLongJobs(t, w.others(old))
 		w.pass(66 * time.Second)
-		if on := w.rules.On(longJobs...); on > 0 {
-			t.Errorf("%d cancelled tasks are still on machines", on)
-		}
+		w.expectLongJobsGone(t)
 	}},
 	{"small job ends far apart, leader changes", func(_ *testing.T, w *world) {
 		for i := range 3 {
@@ -317,15 +323,9 @@
 		w.gather(old)
 		w.stall(old, 40*time.Second)
 		w.pass(time.Second)
-		for _, id := range longJobs {
-			if !w.cancel(id, w.others(old)...) {
-				t.Errorf("%s: cancellation not confirmed", id)
-			}
-		}
+		w.cancelLongJobs(t, w.others(old))
 		w.pass(70 * time.Second)
-		if on := w.rules.On(longJobs...); on > 0 {
-			t.Errorf("%d cancelled tasks are still on machines", on)
-		}
+		w.expectLongJobsGone(t)
 	}},
 	{"leader and placing controller stand still for seconds, again and again", func(t *testing.T, w *world) {
 		for i := range 6 {
--- a/cmd/lynxledge/fleet_test.go
+++ b/cmd/lynxledge/fleet_test.go
@@ -34,6 +34,19 @@
 	return n
 }
 
+// threeSizes are the machine types of the fleets of three controllers.
+var threeSizes = []wire.MachineType{
+	{Name: "s", CPUs: 4, MemoryGB: 8, CacheGB: 35, FetchGBps: 1, Price: 0.15, SpotPrice: 0.06, BootS: 20, Zones: []string{"a"}},
+	{Name: "m", CPUs: 16, MemoryGB: 64, CacheGB: 25, FetchGBps: 1, Price: 0.67, SpotPrice: 0.28, BootS: 20, Zones: []string{"a"}},
+	{Name: "l", CPUs: 64, MemoryGB: 256, CacheGB: 40, FetchGBps: 1, Price: 2.59, SpotPrice: 1.01, BootS: 20, Zones: []string{"a", "b"}},
+}
+
+// twoSizes are those of the fleets of seven.
+var twoSizes = []wire.MachineType{
+	{Name: "s", CPUs: 4, MemoryGB: 32, CacheGB: 35, FetchGBps: 1, Price: 0.19, SpotPrice: 0.05, BootS: 20, Zones: []string{"a", "b"}},
+	{Name: "b", CPUs: 16, MemoryGB: 128, CacheGB: 40, FetchGBps: 1, Price: 0.78, SpotPrice: 0.2, BootS: 20, Zones: []string{"b", "c"}},
+}
+
 // Two shapes of a fleet: few controllers over a fast state service, and many over one
 // that takes some 20 changes a second. Each with half as many machines again as the
 // larger deployments have, and with 4,000: on small controllers then, those with few
@@ -42,11 +55,7 @@
 	"three controllers, 1360 machines": {
 		scale: scale{
 			nodes: 3, pools: map[string]int{"s": 520, "m": 130, "l": 15},
-			types: []wire.MachineType{
-				{Name: "s", CPUs: 4, MemoryGB: 8, CacheGB: 35, FetchGBps: 1, Price: 0.15, SpotPrice: 0.06, BootS: 20, Zones: []string{"a"}},
-				{Name: "m", CPUs: 16, MemoryGB: 64, CacheGB: 25, FetchGBps: 1, Price: 0.67, SpotPrice: 0.28, BootS: 20, Zones: []string{"a"}},
-				{Name: "l", CPUs: 64, MemoryGB: 256, CacheGB: 40, FetchGBps: 1, Price: 2.59, SpotPrice: 1.01, BootS: 20, Zones: []string{"a", "b"}},
-			},
+			types: threeSizes,
 		},
 		tweak: func(p *config.Params) {
 			p.Workers = config.Workers{ReportS: 5, LeaseS: 34, CancelS: 64}
@@ -58,10 +67,7 @@
 	"seven controllers, 2250 machines": {
 		scale: scale{
 			nodes: 7, pools: map[string]int{"s": 452, "b": 111},
-			types: []wire.MachineType{
-				{Name: "s", CPUs: 4, MemoryGB: 32, CacheGB: 35, FetchGBps: 1, Price: 0.19, SpotPrice: 0.05, BootS: 20, Zones: []string{"a", "b"}},
-				{Name: "b", CPUs: 16, MemoryGB: 128, CacheGB: 40, FetchGBps: 1, Price: 0.78, SpotPrice: 0.2, BootS: 20, Zones: []string{"b", "c"}},
-			},
+			types: twoSizes,
 		},
 		tweak: func(p *config.Params) {
 			p.Workers = config.Workers{ReportS: 8, LeaseS: 44, CancelS: 74}
@@ -74,10 +80,7 @@
 	"seven controllers, 4064 machines": {
 		scale: scale{
 			nodes: 7, pools: map[string]int{"s": 820, "b": 196},
-			types: []wire.MachineType{
-				{Name: "s", CPUs: 4, MemoryGB: 32, CacheGB: 35, FetchGBps: 1, Price: 0.19, SpotPrice: 0.05, BootS: 20, Zones: []string{"a", "b"}},
-				{Name: "b", CPUs: 16, MemoryGB: 128, CacheGB: 40, FetchGBps: 1, Price: 0.78, SpotPrice: 0.2, BootS: 20, Zones: []string{"b", "c"}},
-			},
+			types: twoSizes,
 		},
 		tweak: func(p *config.Params) {
 			p.Workers = config.Workers{ReportS: 8, LeaseS: 44, CancelS: 74}
@@ -90,11 +93,7 @@
 	"three controllers, 4056 machines, few sockets": {
 		scale: scale{
 			nodes: 3, pools: map[string]int{"s": 1560, "m": 390, "l": 39},
-			types: []wire.MachineType{
-				{Name: "s", CPUs: 4, MemoryGB: 8, CacheGB: 35, FetchGBps: 1, Price: 0.15, SpotPrice: 0.06, BootS: 20, Zones: []string{"a"}},
-				{Name: "m", CPUs: 16, MemoryGB: 64, CacheGB: 25, FetchGBps: 1, Price: 0.67, SpotPrice: 0.28, BootS: 20, Zones: []string{"a"}},
-				{Name: "l", CPUs: 64, MemoryGB: 256, CacheGB: 40, FetchGBps: 1, Price: 2.59, SpotPrice: 1.01, BootS: 20, Zones: []string{"a", "b"}},
-			},
+			types: threeSizes,
 		},
 		tweak: func(p *config.Params) {
 			p.Workers = config.Workers{ReportS: 5, LeaseS: 34, CancelS: 64}
--- a/internal/apiserver/bench_test.go
+++ b/internal/apiserver/bench_test.go
@@ -82,9 +82,8 @@
 	return raw
 }
 
-// BenchmarkReport is a report that says nothing new, without its connection.
-func BenchmarkReport(b *testing.B) {
-	m := newReportingMachine(b, b.Context())
+// benchmark answers reports, without their connection.
+func (m *reportingMachine) benchmark(b *testing.B) {
 	handler := m.front.Handler()
 	b.ReportAllocs()
 	for b.Loop() {
@@ -99,24 +98,19 @@
 	}
 }
 
+// BenchmarkReport is a report that says nothing new, without its connection.
+func BenchmarkReport(b *testing.B) {
+	m := newReportingMachine(b, b.Context())
+	m.benchmark(b)
+}
+
 // BenchmarkReportWithEnds is a report whose four tasks have all ended, and what it proves.
 func BenchmarkReportWithEnds(b *testing.B) {
 	m := newReportingMachine(b, b.Context())
 	for i := range m.report.Tasks {
 		m.report.Tasks[i].State, m.report.Tasks[i].Why = wire.TaskExited, wire.WhyDone
 	}
-	handler := m.front.Handler()
-	b.ReportAllocs()
-	for b.Loop() {
-		b.StopTimer()
-		request := httptest.NewRequest(http.MethodPost, "/hello", bytes.NewReader(m.body()))
-		recorder := httptest.NewRecorder()
-		b.StartTimer()
-		handler.ServeHTTP(recorder, request)
-		if recorder.Code != http.StatusOK {
-			b.Fatal(recorder.Code, recorder.Body)
-		}
-	}
+	m.benchmark(b)
 }
 
 // BenchmarkReportOverTCP is the same with its connection, the client's part included.
