--- /dev/null
+++ b/cmd/lynxledge/world_test.go
@@ -0,0 +1,317 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	"lynxledge/internal/actor"
+	"lynxledge/internal/config"
+	"lynxledge/internal/fakes"
+	"lynxledge/internal/ledger"
+	"lynxledge/wire"
+)
+
+const settings = `
+member = "n0"
+area = "a"
+client_listen = "127.0.0.1:1"
+mesh_addr = "127.0.0.1:2"
+[external]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[params]
+size = 3
+zones = ["a", "b"]
+skew_ms = 25.0
+[[params.teams]]
+name = "red"
+cpus = 8.0
+cpus_max = 20.0
+[[params.teams]]
+name = "blue"
+cpus = 4.0
+cpus_max = 0.0
+[params.workers]
+report_s = 3.0
+lease_s = 34.0
+cancel_s = 64.0
+[params.state]
+rps = 150.0
+write_rps = 50.0
+value_kb = 8.0
+txn_ops = 8
+[params.cloud]
+rps = 3.0
+list_lag_s = 10.0
+[params.resources]
+cpu = 0.1
+memory_mb = 70.0
+`
+
+var machineTypes = []wire.MachineType{
+	{Name: "s", CPUs: 4, MemoryGB: 16, CacheGB: 20, FetchGBps: 1, Price: 1, SpotPrice: 0.4, BootS: 20, Zones: []string{"a", "b"}},
+	{Name: "l", CPUs: 16, MemoryGB: 64, CacheGB: 20, FetchGBps: 1, Price: 4.5, SpotPrice: 1.5, BootS: 20, Zones: []string{"a"}},
+}
+
+// world is a cluster of this program over the fakes.
+type world struct {
+	ctx        context.Context
+	cfg        *config.Config
+	rules      *fakes.Rules
+	state      *fakes.State
+	net        *fakes.Net
+	cloud      *fakes.Cloud
+	pipes      *fakes.Pipes
+	nodes      []string
+	up         map[string]context.CancelFunc
+	doors      map[string]http.Handler
+	nodeActors map[string][]*actor.Actor
+	rng        *rand.Rand
+	jobs       int
+	known      []*wire.Job
+	types      []wire.MachineType
+	next       *config.StateNext // limits that controllers started from now on know of
+}
+
+// scale is the size of a cluster.
+type scale struct {
+	nodes int
+	types []wire.MachineType
+	pool  int            // machines of one type, zone and kind
+	pools map[string]int // by type, where it is another
+}
+
+var small = scale{nodes: 3, types: machineTypes, pool: 5}
+
+func newWorld(ctx context.Context, seed uint64, size scale, tweak func(*config.Params)) *world {
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	cfg, err := config.Parse(settings)
+	if err != nil {
+		panic(err)
+	}
+	cfg.Ops.BootLagS = 20
+	if tweak != nil {
+		tweak(&cfg.Params)
+	}
+	w := &world{
+		ctx: ctx, cfg: cfg, rules: fakes.NewRules(cfg.Params), state: fakes.NewState(),
+		net: fakes.NewNet(seed, 5*time.Millisecond),
+		up:  map[string]context.CancelFunc{}, doors: map[string]http.Handler{}, nodeActors: map[string][]*actor.Actor{}, rng: rand.New(rand.NewPCG(seed, 9)), types: size.types,
+	}
+	w.pipes = fakes.NewPipes(w.net)
+	for i := range size.nodes {
+		w.nodes = append(w.nodes, fmt.Sprintf("n%d", i))
+	}
+	opt := fakes.WorkerOptions{
+		Report: config.Secs(cfg.Params.Workers.ReportS), Lease: config.Secs(cfg.Params.Workers.LeaseS),
+		Nodes: w.nodes, Net: w.net, Rules: w.rules, Fetch: time.Second,
+		Post: func(node string) fakes.Post {
+			door := w.doors[node]
+			if door == nil {
+				return nil
+			}
+			return func(_ context.Context, rep *wire.Report) (wire.ReportReply, string, bool) { return hello(door, rep) }
+		},
+	}
+	w.cloud = fakes.NewCloud(seed, size.types, size.pool, 10*time.Second, func(h wire.Host) *fakes.Worker {
+		return fakes.NewWorker(ctx, h, opt, int((seed+uint64(h.ID[len(h.ID)-1]))%uint64(len(w.nodes))))
+	})
+	w.cloud.SetLimits(size.pools)
+	for _, n := range w.nodes {
+		w.start(n)
+	}
+	return w
+}
+
+func hello(door http.Handler, rep *wire.Report) (reply wire.ReportReply, to string, ok bool) {
+	status, body := ask(door, http.MethodPost, "/hello", rep)
+	if status == http.StatusOK {
+		return reply, "", json.Unmarshal(body, &reply) == nil
+	}
+	var r wire.Redirect
+	_ = json.Unmarshal(body, &r)
+	return reply, r.ReportTo, false
+}
+
+func ask(door http.Handler, method, path string, in any) (int, []byte) {
+	b, _ := json.Marshal(in)
+	rec := httptest.NewRecorder()
+	door.ServeHTTP(rec, httptest.NewRequest(method, path, bytes.NewReader(b)))
+	return rec.Code, rec.Body.Bytes()
+}
+
+func (w *world) start(name string) {
+	ctx, cancel := context.WithCancel(w.ctx)
+	cfg := *w.cfg
+	cfg.Params.State.Next = w.next
+	cfg.Name, cfg.MeshAddr = name, name+":8081"
+	for _, other := range w.nodes {
+		if other != name {
+			cfg.Peers = append(cfg.Peers, config.Peer{Name: other, Addr: other + ":8081"})
+		}
+	}
+	n := assemble(ctx, &cfg, w.rng.Uint64()>>1, links{
+		state:   &fakes.Conn{State: w.state, Net: w.net, Node: name, Timeout: 1500 * time.Millisecond},
+		cloud:   &fakes.CloudConn{Cloud: w.cloud, Net: w.net, Node: name, Timeout: 4 * time.Second, World: w.ctx},
+		workers: &fakes.WorkerConn{Cloud: w.cloud, Net: w.net, Node: name, Timeout: 3 * time.Second},
+		peers:   w.pipes.Dial(name),
+	})
+	go n.mesh.Serve(w.pipes.Listen(name, cfg.MeshAddr), n.server.Handler())
+	w.nodeActors[name] = n.actors
+	w.up[name], w.doors[name] = cancel, n.server.Handler()
+}
+
+func (w *world) crash(name string) {
+	if w.up[name] != nil {
+		w.up[name]()
+		w.pipes.Crash(name)
+		delete(w.up, name)
+		delete(w.doors, name)
+	}
+}
+
+// ask sends a user's request to a node that is up, and has the answer checked.
+func (w *world) ask(method, path, id string, in any) int {
+	for range w.nodes {
+		if n := w.nodes[w.rng.IntN(len(w.nodes))]; w.doors[n] != nil {
+			status, _ := w.askAt(n, method, path, id, in)
+			return status
+		}
+	}
+	return 0
+}
+
+// askAt asks one controller, which is up.
+func (w *world) askAt(node, method, path, id string, in any) (status int, state string) {
+	status, body := ask(w.doors[node], method, path, in)
+	var s wire.JobStatus
+	_ = json.Unmarshal(body, &s)
+	w.rules.Told(id, status, s.State)
+	return status, s.State
+}
+
+// end lets what is under way end.
+func (w *world) end() {
+	for _, n := range w.nodes {
+		w.crash(n)
+	}
+	time.Sleep(2 * time.Minute)
+}
+
+// isolate leaves a controller neither state nor peers; workers still reach it.
+func (w *world) isolate(node string) {
+	hold := w.rng.IntN(2) == 0
+	w.net.Cut(node, fakes.StateHost, hold)
+	for _, other := range w.nodes {
+		if other != node {
+			w.net.Cut(node, other, hold)
+		}
+	}
+}
+
+// restart starts every controller that is down.
+func (w *world) restart() {
+	for _, n := range w.nodes {
+		if w.up[n] == nil {
+			w.start(n)
+		}
+	}
+}
+
+// bounce ends a controller's process and starts another within a fraction of a
+// second, while requests of the old one are under way.
+func (w *world) bounce(node string) {
+	if w.up[node] != nil {
+		w.crash(node)
+		time.Sleep(200 * time.Millisecond)
+		w.start(node)
+	}
+}
+
+// stall has a controller's process stand still for a while: what reaches it waits, and what
+// it meant to do it does late.
+func (w *world) stall(node string, d time.Duration) {
+	if w.up[node] == nil {
+		return
+	}
+	for _, a := range w.nodeActors[node] {
+		a.Post(func() { time.Sleep(d) })
+	}
+}
+
+// placer names the controller that places, or any if there is none.
+func (w *world) placer() string {
+	var a ledger.Assignment
+	if raw := w.state.Value(ledger.Key(ledger.KindAssignment, "red")); raw != nil && json.Unmarshal(raw, &a) == nil {
+		return a.Member
+	}
+	return w.nodes[0]
+}
+
+// leader names the controller whose record leads, or any if there is none.
+func (w *world) leader() string {
+	var l ledger.Leader
+	if raw := w.state.Value(ledger.LeaderKey); raw != nil && json.Unmarshal(raw, &l) == nil {
+		return l.Member
+	}
+	return w.nodes[0]
+}
+
+// calmState ends what is wrong with the state service, but for an outage.
+func (w *world) calmState() {
+	for _, n := range w.nodes {
+		w.state.Refuse(n, false)
+	}
+	w.state.SetLate(0)
+	w.net.Slow(fakes.StateHost, 0)
+}
+
+// pass lets time go by, watching the rules.
+func (w *world) pass(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(time.Second)
+		w.rules.Tick()
+		w.rules.Idle(w.cloud.Running(), w.types)
+	}
+}
+
+// recover ends every trouble and lets the cluster finish its work.
+func (w *world) recover() {
+	w.net.HealAll()
+	w.net.SetFates(0, 0)
+	w.calmState()
+	w.rules.AtEnd(nil)
+	w.state.SetDown(false)
+	w.restart()
+	w.rules.Over()
+	for range 120 {
+		w.pass(5 * time.Second)
+		for _, j := range w.known {
+			w.ask(http.MethodGet, "/work/"+j.ID, j.ID, nil)
+		}
+		w.rules.Forgotten()
+		if len(w.rules.Open()) == 0 && len(w.rules.Missing()) == 0 {
+			return
+		}
+	}
+}
+
+// faults lists what a day must not end with, once the cluster has recovered.
+func (w *world) faults() []string {
+	var out []string
+	for _, b := range append(w.rules.Breaches(), w.state.Breaches()...) {
+		out = append(out, "rule broken: "+b)
+	}
+	for _, id := range append(w.rules.Open(), w.rules.Missing()...) {
+		out = append(out, "never finished: "+id)
+	}
+	return out
+}
