statecache: a conflict ends a commit only once the view includes it

Cause: the store executed a scheduler's commit and its response was lost; the retry conflicted with the first attempt; Cache.catchUp read the store once, and if the read failed, or the view was not loaded, the commit ended as Conflicted on a view without its own bindings. The view still counted as fresh, and the next cycle bound the same tasks to a machine of another group, whose preconditions held.

Change: a conflict is reported once the view includes its revision, by the watch or by reads that are repeated with backoff, each failure with a log line. Callers that read the store themselves (the API server) or decide nothing afterwards (a resignation) set AcceptStaleView, and end as before.

Why it works: an attempt that was executed before the conflict has a revision up to the conflict's, and one that is still under way can't be executed any more, since a key that it compares has changed.

TestUnansweredCommit ran on a view that was never loaded and expected a conflict at revision 1 to end at once, which is the fault; it has the same checks on a view at that revision.

--- a/internal/apiserver/snapshot.go
+++ b/internal/apiserver/snapshot.go
@@ -102,6 +102,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*commitRetryTime)
 	defer cancel()
 	commit.RetryFor = commitRetryTime
+	commit.AcceptStaleView = true // a request is answered from a linearizable read, or forwarded at once
 	outcomes := make(chan statecache.Outcome, 1)
 	s.cache.Commit(commit, func(outcome statecache.Outcome) { outcomes <- outcome })
 	select {
--- a/internal/election/handover.go
+++ b/internal/election/handover.go
@@ -42,7 +42,7 @@
 func (e *Election) Resign(done func()) {
 	e.Send(func() {
 		e.resigned = true
-		var c statecache.Commit
+		c := statecache.Commit{AcceptStaleView: true} // nothing is decided after it
 		if e.isLeader() {
 			addDeletion(&c, statecache.LeaderKey, e.view.Leader.ModRevision)
 		}
--- a/internal/scheduler/helpers_test.go
+++ b/internal/scheduler/helpers_test.go
@@ -19,6 +19,12 @@
 // of machines), with one task of one job on every machine; the job's team is assigned to another
 // process.
 func withScheduler(t *testing.T, groups map[string]int, f func(cache *statecache.Cache, s *Scheduler)) {
+	t.Helper()
+	withSchedulerAndStore(t, groups, func(_ *simulation.Store, cache *statecache.Cache, s *Scheduler) { f(cache, s) })
+}
+
+// withSchedulerAndStore is withScheduler for tests that also need the store.
+func withSchedulerAndStore(t *testing.T, groups map[string]int, f func(store *simulation.Store, cache *statecache.Cache, s *Scheduler)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -26,7 +32,8 @@
 		cfg.Params.Workers = config.WorkerTimings{HeartbeatInterval: 8 * time.Second, LeaseDuration: 44 * time.Second, CancellationDeadline: 74 * time.Second}
 		cfg.Params.Store = config.StoreLimits{MaxValueKB: 4, MaxTxnOps: 8, RequestRate: 180, WriteRate: 18}
 		cfg.Params.Teams = []config.TeamQuota{{Name: "red"}}
-		conn := &simulation.StoreConn{Store: simulation.NewStore(), Network: simulation.NewNetwork(1, time.Millisecond), Member: "n0", Timeout: time.Second}
+		store := simulation.NewStore()
+		conn := &simulation.StoreConn{Store: store, Network: simulation.NewNetwork(1, time.Millisecond), Member: "n0", Timeout: time.Second}
 		cache := statecache.Start(ctx, conn, statecache.Options{ChunkTasks: statecache.ChunkTasks(4), WatchHold: time.Second, MaxViewAge: time.Second, Backoff: 100 * time.Millisecond})
 		s := Start(ctx, Options{Config: cfg, Incarnation: 2, Cache: cache, OnCommandResponse: func(*wire.Heartbeat) {}})
 		s.SetMachineTypes([]wire.MachineType{{Name: "s", CPUs: 4, MemoryGB: 16, HourlyPrice: 1, Zones: []wire.Zone{"a"}}})
@@ -44,7 +51,7 @@
 		}
 		cache.Commit(commit, func(statecache.Outcome) {})
 		time.Sleep(time.Second)
-		f(cache, s)
+		f(store, cache, s)
 		cancel()
 		time.Sleep(time.Minute)
 	})
--- /dev/null
+++ b/internal/scheduler/lost_response_test.go
@@ -0,0 +1,112 @@
+package scheduler
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"lynxledge/internal/simulation"
+	"lynxledge/internal/statecache"
+	"lynxledge/wire"
+)
+
+// errResponseLost stands for the response to a transaction that the store may have executed.
+var errResponseLost = errors.New("response lost")
+
+// bindingAttempts handles the attempts to commit bindings, each with the next of its functions, and
+// all other transactions as the store does.
+type bindingAttempts struct {
+	handlers []func(execute func() (uint64, error)) (uint64, error)
+	onFirst  func(txn *wire.Txn) // called with the first attempt's transaction, before it is handled
+}
+
+func (a *bindingAttempts) intercept(_ string, txn *wire.Txn, execute func() (uint64, error)) (uint64, error) {
+	if len(a.handlers) == 0 || !bindsTasks(txn) {
+		return execute()
+	}
+	if a.onFirst != nil {
+		a.onFirst(txn)
+		a.onFirst = nil
+	}
+	handle := a.handlers[0]
+	a.handlers = a.handlers[1:]
+	return handle(execute)
+}
+
+// bindsTasks reports whether a transaction is conditional on an assignment, as one with bindings is.
+func bindsTasks(txn *wire.Txn) bool {
+	for i := range txn.Preconditions {
+		if strings.HasPrefix(txn.Preconditions[i].Key, statecache.Key(statecache.KindAssignment, "")) {
+			return true
+		}
+	}
+	return false
+}
+
+func executeAndLoseResponse(execute func() (uint64, error)) (uint64, error) {
+	_, _ = execute()
+	return 0, errResponseLost
+}
+
+// addIdleGroups assigns the team to the scheduler, and adds groups of one idle machine each, and a
+// job with one task.
+func addIdleGroups(cache *statecache.Cache, s *Scheduler, names ...string) {
+	commit := statecache.Commit{Puts: []statecache.Put{
+		{Key: statecache.Key(statecache.KindAssignment, "red"), Record: &statecache.Assignment{Member: "n0", Incarnation: s.incarnation}},
+		{Key: statecache.Key(statecache.KindJob, "req-000001"), Record: &statecache.Job{TaskCount: 1, SubmittedAt: statecache.TimestampOf(time.Now()), Spec: &wire.Job{
+			ID: "req-000001", Team: "red", Kind: wire.KindArray, TaskCount: 1, CPUs: 4, MemoryGB: 1, EstimatedRuntime: 50,
+		}}},
+	}}
+	for _, name := range names {
+		group := groupOf(name, 1)
+		group.Machines[0].Bindings = nil
+		commit.Puts = append(commit.Puts, statecache.Put{Key: statecache.Key(statecache.KindMachineGroup, name), Record: group})
+	}
+	cache.Commit(commit, func(statecache.Outcome) {})
+}
+
+// A task is bound to one machine only, however the commit that binds it ends: while the view lacks
+// what an attempt without a response has changed, or may still change, the task looks unbound. The
+// preconditions of another binding would hold, since that is in another group's record.
+func TestTaskIsBoundOnceAfterALostResponse(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		handlers   []func(execute func() (uint64, error)) (uint64, error)
+		unreadable bool // the store can't be read from the first attempt on, for 30 s
+	}{
+		{"conflict with the first attempt", []func(func() (uint64, error)) (uint64, error){executeAndLoseResponse}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withSchedulerAndStore(t, map[string]int{}, func(store *simulation.Store, cache *statecache.Cache, s *Scheduler) {
+				inActor(s, func() { s.workers = make(commandRecorder, 100) })
+				attempts := &bindingAttempts{handlers: test.handlers}
+				attempts.onFirst = func(txn *wire.Txn) {
+					store.SetUnreadableFor("n0", test.unreadable)
+					// The next cycle prefers another machine, as after a command without a response.
+					_, group, _ := strings.Cut(txn.Writes[0].Key(), statecache.Key(statecache.KindMachineGroup, ""))
+					s.Send(func() { s.backoff.avoidMachine(wire.MachineID("i-"+group+"000"), time.Now()) })
+				}
+				store.InterceptCommits(attempts.intercept)
+				addIdleGroups(cache, s, "a", "b", "c")
+				time.Sleep(30 * time.Second)
+				store.SetUnreadableFor("n0", false)
+				time.Sleep(30 * time.Second)
+				inActor(s, func() {
+					if len(attempts.handlers) > 0 {
+						t.Errorf("%d attempts were not made", len(attempts.handlers))
+					}
+					var machines []wire.MachineID
+					for name, machine := range s.view.Machines {
+						if len(machine.Bindings) > 0 {
+							machines = append(machines, name)
+						}
+					}
+					if len(machines) != 1 {
+						t.Errorf("the task is bound to %v", machines)
+					}
+				})
+			})
+		})
+	}
+}
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -34,7 +34,9 @@
 	expiredKeys        map[string]bool // keys ever deleted because their lease expired
 	outage             bool
 	unavailableFor     map[string]bool // members whose requests are rejected (503)
-	delayedFraction    float64         // of the transactions, which get no response and are committed later
+	unreadableFor      map[string]bool // members whose reads are rejected (503), while their transactions are executed
+	interceptCommit    CommitInterceptor
+	delayedFraction    float64 // of the transactions, which get no response and are committed later
 	rng                *rand.Rand
 	changed            chan struct{}         // closed and replaced by notifyWatchers
 	IgnorePrecondition func(key string) bool // reports whether to skip the preconditions on a key, for tests of what they prevent; nil: none are skipped
@@ -48,7 +50,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{keys: map[string]entry{}, leases: map[uint64]*lease{}, expiredKeys: map[string]bool{}, unavailableFor: map[string]bool{},
+	return &Store{keys: map[string]entry{}, leases: map[uint64]*lease{}, expiredKeys: map[string]bool{}, unavailableFor: map[string]bool{}, unreadableFor: map[string]bool{},
 		rng: rand.New(rand.NewPCG(1, 6)), changed: make(chan struct{})}
 }
 
@@ -135,7 +137,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeases()
-	if s.unavailable(member) {
+	if s.unreadable(member) {
 		return nil, kvstore.ErrRejected
 	}
 	var keys []string
@@ -161,7 +163,7 @@
 	for {
 		s.mu.Lock()
 		s.expireLeases()
-		unavailable, changed := s.unavailable(member), s.changed
+		unreadable, changed := s.unreadable(member), s.changed
 		out := &wire.WatchResponse{Revision: s.revision}
 		// The events are ordered by revision: find the first one later than after.
 		i := sort.Search(len(s.events), func(i int) bool { return s.events[i].ModRevision > after })
@@ -175,16 +177,16 @@
 			}
 		}
 		s.mu.Unlock()
-		if unavailable && hold == 0 {
+		if unreadable && hold == 0 {
 			return nil, kvstore.ErrRejected
 		}
-		if !unavailable && (len(out.Events) > 0 || hold == 0) {
+		if !unreadable && (len(out.Events) > 0 || hold == 0) {
 			return out, nil
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			if unavailable {
+			if unreadable {
 				return nil, kvstore.ErrRejected
 			}
 			return out, nil
--- a/internal/simulation/store_conn.go
+++ b/internal/simulation/store_conn.go
@@ -37,7 +37,7 @@
 			}()
 			return result{delayed: true}, nil
 		}
-		revision, err := c.Store.commit(c.Member, txn)
+		revision, err := c.Store.handleCommit(c.Member, txn)
 		return result{revision: revision}, err
 	})
 	if r.delayed {
--- a/internal/statecache/cache.go
+++ b/internal/statecache/cache.go
@@ -57,6 +57,7 @@
 	progress       progress
 	ownDeletions   ownDeletions
 	refreshes      refreshQueue
+	revisionWaits  []*revisionWait
 	jobCountWarned bool
 }
 
@@ -114,18 +115,26 @@
 
 // backOff pauses after a failure for a random time from d to 2d, where d is Options.Backoff doubled
 // with each earlier failure, up to 32 times Options.Backoff.
-func (c *Cache) backOff(failures int) { c.sleep(c.options.Backoff << min(failures, 5)) }
+func (c *Cache) backOff(failures int) { c.sleep(c.backoffDelay(failures)) }
 
-// sleep waits for a random time from d to 2d, or until the context ends.
+// backoffDelay returns a random pause for backOff.
+func (c *Cache) backoffDelay(failures int) time.Duration {
+	return withJitter(c.options.Backoff << min(failures, 5))
+}
+
+// withJitter returns a random time from d to 2d.
+func withJitter(d time.Duration) time.Duration { return d + time.Duration(rand.Int64N(int64(d)+1)) }
+
+// sleep waits for d, or until the context ends.
 func (c *Cache) sleep(d time.Duration) {
-	d += time.Duration(rand.Int64N(int64(d) + 1))
 	select {
 	case <-time.After(d):
 	case <-c.ctx.Done():
 	}
 }
 
-// publish applies the changes that the view does not include yet, and notifies the subscribers.
+// publish applies the changes that the view does not include yet, notifies the subscribers, and ends
+// the waits for revisions that the view now includes.
 func (c *Cache) publish(changes []Change) {
 	applied := make([]Change, 0, len(changes)) // grows when a job's change causes changes of other jobs
 	for _, change := range changes {
@@ -140,6 +149,7 @@
 	for _, f := range c.subscribers {
 		f(update)
 	}
+	c.endRevisionWaits()
 }
 
 // isKnown reports whether the view already includes a change, such as that of an own commit which
--- a/internal/statecache/commit_test.go
+++ b/internal/statecache/commit_test.go
@@ -105,7 +105,13 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
-			cache := Start(ctx, &rejectingStore{rejections: test.errs}, Options{ChunkTasks: ChunkTasks(4), Backoff: 100 * time.Millisecond})
+			conn := newTestConn(simulation.NewStore())
+			if revision, err := conn.Commit(ctx, &wire.Txn{Writes: []wire.Write{{PutKey: Key(KindJob, "req-000002"), Value: mustMarshal(&Job{TaskCount: 1})}}}); err != nil || revision != 1 {
+				t.Fatalf("revision %d, %v", revision, err)
+			}
+			cache := newTestCache(ctx, &rejectingStore{Store: conn, rejections: test.errs}, 0)
+			cache.Run()
+			time.Sleep(time.Second)
 			outcome, _ := commitAndWait(cache, Commit{
 				Puts:              []Put{{Key: Key(KindJob, "req-000001"), Record: &Job{TaskCount: 1}}},
 				RetryUntilCertain: test.untilCertain, RetryFor: 50 * time.Millisecond,
--- a/internal/statecache/transaction.go
+++ b/internal/statecache/transaction.go
@@ -15,11 +15,15 @@
 	Puts          []Put
 	Deletes       []string
 	// RetryUntilCertain reports whether a transaction whose outcome is unknown is retried, even
-	// beyond RetryFor, until an attempt has a final outcome. Since its writes change the keys that
-	// its preconditions compare, no earlier copy of it can be executed after that.
+	// beyond RetryFor, until an attempt is executed or conflicts. Since its writes change the keys
+	// that its preconditions compare, no earlier copy of it can be executed after that.
 	RetryUntilCertain bool
 	// RetryFor is how long the transaction is retried while its outcome is not final.
 	RetryFor time.Duration
+	// AcceptStaleView lets a conflict end the commit even if the store can't be read. The view may
+	// then lack the conflicting change, and whatever the commit itself has changed. Only for callers
+	// that read the store before they decide anything else, or decide nothing else.
+	AcceptStaleView bool
 }
 
 // Put sets a key to a record.
