scheduler: bind nothing beside a commit that may still be executed

Cause: an attempt got no response, and the store rejected a retry for good, as invalid (its limits fall) or for a missing lease. The commit ended as Rejected, "certainly not executed" to its callers, though the first attempt may have been executed, or may be executed seconds later. The scheduler bound the same tasks in another group.

Change: such a commit ends as OutcomeUnknown. The scheduler remembers which group records an unknown commit of bindings requires at which revisions. Until the view shows one of them changed, every cycle that binds tasks rewrites one of them, too, or binds nothing.

Why it works: of two commits that compare and change the same record only one can be executed.

Two more cases in TestUnansweredCommit.

--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -32,11 +32,14 @@
 	s.commitInFlight = false
 	s.writes.commitEnded()
 	s.nodes.reset(machines)
-	if outcome == statecache.Committed {
+	switch outcome {
+	case statecache.Committed:
 		for _, f := range c.onCommitted {
 			f()
 		}
 		s.launch(c)
+	case statecache.OutcomeUnknown:
+		s.rememberUncertain(c)
 	}
 	s.schedule()
 }
--- a/internal/scheduler/cycle.go
+++ b/internal/scheduler/cycle.go
@@ -65,6 +65,9 @@
 		s.consultAdvisor(now)
 	}
 	queue := s.jobs.pending(assignments, s.advice.current, now)
+	if len(queue) > 0 && !c.excludeUncertainCommits() {
+		queue = nil
+	}
 	c.applyPendingEvidence(hasAssignments, len(queue) > 0)
 	for job := range c.completed {
 		c.finishJob(job)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -38,6 +38,7 @@
 	advice              advisory
 	shortages           *shortages
 	moves               *replicaMoves
+	uncertainCommits    []uncertainCommit
 }
 
 // newSchedulingState returns a state with an empty view.
--- a/internal/scheduler/lost_response_test.go
+++ b/internal/scheduler/uncertain_commit_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"lynxledge/internal/kvstore"
 	"lynxledge/internal/simulation"
 	"lynxledge/internal/statecache"
 	"lynxledge/wire"
@@ -49,6 +50,14 @@
 	return 0, errResponseLost
 }
 
+// executeLate has the store execute a transaction that got no response 3 s later.
+func executeLate(execute func() (uint64, error)) (uint64, error) {
+	time.AfterFunc(3*time.Second, func() { _, _ = execute() })
+	return 0, errResponseLost
+}
+
+func rejectAsInvalid(func() (uint64, error)) (uint64, error) { return 0, kvstore.ErrInvalidRequest }
+
 // addIdleGroups assigns the team to the scheduler, and adds groups of one idle machine each, and a
 // job with one task.
 func addIdleGroups(cache *statecache.Cache, s *Scheduler, names ...string) {
@@ -76,6 +85,9 @@
 		unreadable bool // the store can't be read from the first attempt on, for 30 s
 	}{
 		{"conflict with the first attempt", []func(func() (uint64, error)) (uint64, error){executeAndLoseResponse}, true},
+		{"rejected as invalid after the first attempt", []func(func() (uint64, error)) (uint64, error){executeAndLoseResponse, rejectAsInvalid}, true},
+		{"rejected as invalid before the first attempt is executed", []func(func() (uint64, error)) (uint64, error){executeLate, rejectAsInvalid}, false},
+		{"both after two attempts without a response", []func(func() (uint64, error)) (uint64, error){executeLate, executeAndLoseResponse, rejectAsInvalid}, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			withSchedulerAndStore(t, map[string]int{}, func(store *simulation.Store, cache *statecache.Cache, s *Scheduler) {
--- a/internal/statecache/commit.go
+++ b/internal/statecache/commit.go
@@ -15,12 +15,11 @@
 
 // Outcomes of a commit. An attempt that got no response may have been executed, and a retry may then
 // conflict with it. So Conflicted does not mean that nothing was executed, only that the view
-// includes what was. A retry that is rejected as invalid or for a missing lease is final, too, so
-// neither does Rejected if an attempt got no response.
+// includes what was.
 const (
 	Committed      Outcome = iota // it was executed, and the view includes it
 	Conflicted                    // a precondition failed; the view includes the conflicting change, unless Commit.AcceptStaleView is set
-	Rejected                      // it was certainly not executed, unless an attempt got no response
+	Rejected                      // it was certainly not executed
 	OutcomeUnknown                // it may have been executed, or may still be
 )
 
@@ -113,13 +112,13 @@
 		slog.Debug("commit conflicted", "keys", conflict.FailedKeys, "revision", conflict.Revision)
 		return func() { c.finishConflicted(pending, conflict.Revision) }
 	case errors.Is(err, kvstore.ErrLeaseNotFound):
-		return func() { pending.reply(Rejected) }
+		return func() { pending.reply(pending.outcomeIfRejected()) }
 	case errors.Is(err, kvstore.ErrInvalidRequest):
 		slog.Error("commit rejected as invalid", "error", err, "writes", len(pending.txn.Writes))
 		if c.options.OnSizeRejected != nil {
 			c.options.OnSizeRejected()
 		}
-		return func() { pending.reply(Rejected) }
+		return func() { pending.reply(pending.outcomeIfRejected()) }
 	}
 	return nil
 }
--- a/internal/statecache/commit_test.go
+++ b/internal/statecache/commit_test.go
@@ -102,6 +102,8 @@
 		{"given up after rejections", []error{kvstore.ErrRejected, kvstore.ErrRejected}, false, Rejected},
 		{"settled", []error{unanswered, kvstore.ErrRejected}, true, Committed},
 		{"settled by a conflict", []error{unanswered, &kvstore.ConflictError{Revision: 1}}, true, Conflicted},
+		{"then rejected as invalid", []error{unanswered, kvstore.ErrInvalidRequest}, true, OutcomeUnknown},
+		{"then without a lease", []error{unanswered, kvstore.ErrLeaseNotFound}, true, OutcomeUnknown},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
--- a/internal/statecache/transaction.go
+++ b/internal/statecache/transaction.go
@@ -16,7 +16,8 @@
 	Deletes       []string
 	// RetryUntilCertain reports whether a transaction whose outcome is unknown is retried, even
 	// beyond RetryFor, until an attempt is executed or conflicts. Since its writes change the keys
-	// that its preconditions compare, no earlier copy of it can be executed after that.
+	// that its preconditions compare, no earlier copy of it can be executed after that. The outcome
+	// remains unknown only if the store rejects a retry for good.
 	RetryUntilCertain bool
 	// RetryFor is how long the transaction is retried while its outcome is not final.
 	RetryFor time.Duration
