autoscaler: an intent without a response is settled before planning again

What callers could see: machines rented twice for the same work, with no rule broken.

Cause: the response to an intent's transaction was lost. The intent ended as OutcomeUnknown, its pool was free again, and the next planning cycle, whose view lacked the intent, stored a second one for the same demand; the cloud was called for both.

Change: the commit is retried until it is certain. Until then its pool is busy, as it is while an intent is called or recorded; if leadership is lost meanwhile, the commit conflicts.

Test: TestProvisionsOnceAfterALostResponse (executed, then unreadable; executed 8 s late).

--- a/internal/autoscaler/autoscaler_test.go
+++ b/internal/autoscaler/autoscaler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,6 +23,12 @@
 
 // withLeaderOn is like withLeader, over the given network.
 func withLeaderOn(t *testing.T, net *simulation.Network, limit int, f func(cache *statecache.Cache, c *simulation.Cloud, a *Autoscaler), extraTypes ...wire.MachineType) {
+	t.Helper()
+	withLeaderAndStore(t, net, limit, func(_ *simulation.Store, cache *statecache.Cache, c *simulation.Cloud, a *Autoscaler) { f(cache, c, a) }, extraTypes...)
+}
+
+// withLeaderAndStore is withLeaderOn for tests that also need the store.
+func withLeaderAndStore(t *testing.T, net *simulation.Network, limit int, f func(store *simulation.Store, cache *statecache.Cache, c *simulation.Cloud, a *Autoscaler), extraTypes ...wire.MachineType) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -34,7 +41,8 @@
 		cfg.Params.Teams = []config.TeamQuota{{Name: "red"}}
 		types := []wire.MachineType{{Name: "s", CPUs: 4, MemoryGB: 16, HourlyPrice: 1, BootTime: 25, Zones: []wire.Zone{"a"}}}
 		types = append(types, extraTypes...)
-		conn := &simulation.StoreConn{Store: simulation.NewStore(), Network: net, Member: "n0", Timeout: time.Second}
+		store := simulation.NewStore()
+		conn := &simulation.StoreConn{Store: store, Network: net, Member: "n0", Timeout: time.Second}
 		chunk := statecache.ChunkTasks(8)
 		cache := statecache.Start(ctx, conn, statecache.Options{ChunkTasks: chunk, WatchHold: time.Second, MaxViewAge: time.Second, Backoff: 100 * time.Millisecond})
 		cloud := simulation.NewCloud(1, types, limit, 10*time.Second, func(instance wire.Instance) *simulation.Worker {
@@ -55,7 +63,7 @@
 				ID: "req-000001", Team: "red", Kind: wire.KindService, Priority: wire.PriorityProduction, TaskCount: 1, CPUs: 4, MemoryGB: 1,
 			}}},
 		}}, func(statecache.Outcome) {})
-		f(cache, cloud, a)
+		f(store, cache, cloud, a)
 		cancel()
 		time.Sleep(time.Minute)
 	})
@@ -83,6 +91,44 @@
 	})
 }
 
+// A machine is provisioned once even if the response to the intent's transaction is lost, whether the
+// store has executed it, and can't be read for the next cycle, or executes it after that cycle: the
+// cycle must not plan from a view that lacks the intent.
+func TestProvisionsOnceAfterALostResponse(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		lateBy     time.Duration // the store executes the transaction that much later
+		unreadable bool
+	}{
+		{"executed, then unreadable", 0, true},
+		{"executed late", 8 * time.Second, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withLeaderAndStore(t, simulation.NewNetwork(1, time.Millisecond), 5, func(store *simulation.Store, _ *statecache.Cache, c *simulation.Cloud, _ *Autoscaler) {
+				lost := false
+				store.InterceptCommits(func(_ string, txn *wire.Txn, execute func() (uint64, error)) (uint64, error) {
+					if lost || !strings.HasPrefix(txn.Writes[0].Key(), statecache.Key(statecache.KindProvisioningIntent, "")) {
+						return execute()
+					}
+					lost = true
+					store.SetUnreadableFor("n0", test.unreadable)
+					time.AfterFunc(test.lateBy, func() { _, _ = execute() })
+					return 0, context.DeadlineExceeded
+				})
+				most := 0
+				for second := range 45 {
+					time.Sleep(time.Second)
+					store.SetUnreadableFor("n0", lost && test.unreadable && second < 12)
+					most = max(most, len(c.RunningMachines()))
+				}
+				if !lost || most != 1 {
+					t.Errorf("%d machines up at once for one replica; response lost: %v", most, lost)
+				}
+			})
+		})
+	}
+}
+
 // Guards against scaling in an unreachable machine when only half of its replicas fit on others and
 // the cloud has no machine left: it may only be partitioned, so it is kept for two leases. One that
 // runs only arrays is scaled in soon.
--- a/internal/autoscaler/scale_out.go
+++ b/internal/autoscaler/scale_out.go
@@ -56,8 +56,9 @@
 	key := statecache.Key(statecache.KindProvisioningIntent, name)
 	a.provisioning.begin(name, request.Pool)
 	a.commit(statecache.Commit{
-		Preconditions: []wire.Precondition{lead.Precondition(), {Key: key}},
-		Puts:          []statecache.Put{{Key: key, Record: intent}},
+		Preconditions:     []wire.Precondition{lead.Precondition(), {Key: key}},
+		Puts:              []statecache.Put{{Key: key, Record: intent}},
+		RetryUntilCertain: true, // until then the pool is busy: a plan would request its machines again
 	}, func(outcome statecache.Outcome) {
 		a.provisioning.finish(name)
 		if outcome == statecache.Committed {
