--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -28,10 +28,7 @@
 // with a number of queued jobs proportional to the fleet.
 func busyScheduler(machines int) *Scheduler {
 	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
-	cfg := &config.Config{Operator: config.DefaultOperatorSettings()}
-	cfg.Params.Workers = config.WorkerTimings{HeartbeatInterval: 8 * time.Second, LeaseDuration: 44 * time.Second, CancellationDeadline: 74 * time.Second}
-	cfg.Params.Store = config.StoreLimits{MaxValueKB: 4, MaxTxnOps: 8, RequestRate: 200, WriteRate: 20}
-	cfg.Params.Teams = []config.TeamQuota{{Name: "red"}}
+	cfg := testConfig(20, config.TeamQuota{Name: "red"})
 	s := newScheduler(Options{Config: cfg, Incarnation: 1})
 	s.nodes.machineTypes["s"] = &wire.MachineType{Name: "s", CPUs: 4, MemoryGB: 32, Zones: []wire.Zone{"a"}}
 	s.nodes.offers = placement.ZoneOffers{"a": 1}
--- a/internal/scheduler/helpers_test.go
+++ b/internal/scheduler/helpers_test.go
@@ -15,6 +15,15 @@
 	"lynxledge/wire"
 )
 
+// testConfig returns the settings of a deployment whose store executes writeRate writes per second.
+func testConfig(writeRate float64, teams ...config.TeamQuota) *config.Config {
+	cfg := &config.Config{Operator: config.DefaultOperatorSettings()}
+	cfg.Params.Workers = config.WorkerTimings{HeartbeatInterval: 8 * time.Second, LeaseDuration: 44 * time.Second, CancellationDeadline: 74 * time.Second}
+	cfg.Params.Store = config.StoreLimits{MaxValueKB: 4, MaxTxnOps: 8, RequestRate: 10 * writeRate, WriteRate: writeRate}
+	cfg.Params.Teams = teams
+	return cfg
+}
+
 // withScheduler calls f with a running scheduler. The store holds the given groups (name to number
 // of machines), with one task of one job on every machine; the job's team is assigned to another
 // process.
@@ -28,10 +37,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		cfg := &config.Config{Operator: config.DefaultOperatorSettings()}
-		cfg.Params.Workers = config.WorkerTimings{HeartbeatInterval: 8 * time.Second, LeaseDuration: 44 * time.Second, CancellationDeadline: 74 * time.Second}
-		cfg.Params.Store = config.StoreLimits{MaxValueKB: 4, MaxTxnOps: 8, RequestRate: 180, WriteRate: 18}
-		cfg.Params.Teams = []config.TeamQuota{{Name: "red"}}
+		cfg := testConfig(18, config.TeamQuota{Name: "red"})
 		store := simulation.NewStore()
 		conn := &simulation.StoreConn{Store: store, Network: simulation.NewNetwork(1, time.Millisecond), Member: "n0", Timeout: time.Second}
 		cache := statecache.Start(ctx, conn, statecache.Options{ChunkTasks: statecache.ChunkTasks(4), WatchHold: time.Second, MaxViewAge: time.Second, Backoff: 100 * time.Millisecond})
--- a/internal/scheduler/replica_moves_test.go
+++ b/internal/scheduler/replica_moves_test.go
@@ -30,10 +30,7 @@
 // blocking service, and team red the blocked one; without quotas, team red owns both.
 func newMoveFixture(teams ...config.TeamQuota) *moveFixture {
 	teams = append(teams, config.TeamQuota{Name: "red"}) // of equal names the first quota counts
-	cfg := &config.Config{Operator: config.DefaultOperatorSettings()}
-	cfg.Params.Workers = config.WorkerTimings{HeartbeatInterval: 8 * time.Second, LeaseDuration: 44 * time.Second, CancellationDeadline: 74 * time.Second}
-	cfg.Params.Store = config.StoreLimits{MaxValueKB: 4, MaxTxnOps: 8, RequestRate: 200, WriteRate: 20}
-	cfg.Params.Teams = teams
+	cfg := testConfig(20, teams...)
 	f := &moveFixture{Scheduler: newScheduler(Options{Config: cfg, Incarnation: 1}), now: time.Now()}
 	f.cycleScheduled = true // cycles are planned by the test
 	f.nodes.setMachineTypes([]wire.MachineType{{Name: "s", CPUs: 4, MemoryGB: 32, Zones: []wire.Zone{"a", "b", "c"}}})
--- a/internal/scheduler/uncertain_commit_test.go
+++ b/internal/scheduler/uncertain_commit_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"context"
 	"errors"
 	"strings"
 	"testing"
@@ -15,10 +16,14 @@
 // errResponseLost stands for the response to a transaction that the store may have executed.
 var errResponseLost = errors.New("response lost")
 
-// bindingAttempts handles the attempts to commit bindings, each with the next of its functions, and
+// attemptHandler handles an attempt to commit bindings in place of the store.
+type attemptHandler func(store *simulation.Store, execute func() (uint64, error)) (uint64, error)
+
+// bindingAttempts handles the attempts to commit bindings, each with the next of its handlers, and
 // all other transactions as the store does.
 type bindingAttempts struct {
-	handlers []func(execute func() (uint64, error)) (uint64, error)
+	store    *simulation.Store
+	handlers []attemptHandler
 	onFirst  func(txn *wire.Txn) // called with the first attempt's transaction, before it is handled
 }
 
@@ -32,7 +37,7 @@
 	}
 	handle := a.handlers[0]
 	a.handlers = a.handlers[1:]
-	return handle(execute)
+	return handle(a.store, execute)
 }
 
 // bindsTasks reports whether a transaction is conditional on an assignment, as one with bindings is.
@@ -45,18 +50,31 @@
 	return false
 }
 
-func executeAndLoseResponse(execute func() (uint64, error)) (uint64, error) {
+func executeAndLoseResponse(_ *simulation.Store, execute func() (uint64, error)) (uint64, error) {
 	_, _ = execute()
 	return 0, errResponseLost
 }
 
 // executeLate has the store execute a transaction that got no response 3 s later.
-func executeLate(execute func() (uint64, error)) (uint64, error) {
+func executeLate(_ *simulation.Store, execute func() (uint64, error)) (uint64, error) {
 	time.AfterFunc(3*time.Second, func() { _, _ = execute() })
 	return 0, errResponseLost
 }
 
-func rejectAsInvalid(func() (uint64, error)) (uint64, error) { return 0, kvstore.ErrInvalidRequest }
+func rejectAsInvalid(*simulation.Store, func() (uint64, error)) (uint64, error) {
+	return 0, kvstore.ErrInvalidRequest
+}
+
+// reassignFirst has another controller write the team's assignment anew before the store handles a
+// transaction, which then conflicts.
+func reassignFirst(store *simulation.Store, execute func() (uint64, error)) (uint64, error) {
+	other := &simulation.StoreConn{Store: store, Network: simulation.NewNetwork(2, time.Millisecond), Member: "n1", Timeout: time.Second}
+	key := statecache.Key(statecache.KindAssignment, "red")
+	if _, err := other.Commit(context.Background(), &wire.Txn{Writes: []wire.Write{{PutKey: key, Value: store.Value(key)}}}); err != nil {
+		return 0, err
+	}
+	return execute()
+}
 
 // addIdleGroups assigns the team to the scheduler, and adds groups of one idle machine each, and a
 // job with one task.
@@ -81,18 +99,20 @@
 func TestTaskIsBoundOnceAfterALostResponse(t *testing.T) {
 	for _, test := range []struct {
 		name       string
-		handlers   []func(execute func() (uint64, error)) (uint64, error)
+		handlers   []attemptHandler
 		unreadable bool // the store can't be read from the first attempt on, for 30 s
 	}{
-		{"conflict with the first attempt", []func(func() (uint64, error)) (uint64, error){executeAndLoseResponse}, true},
-		{"rejected as invalid after the first attempt", []func(func() (uint64, error)) (uint64, error){executeAndLoseResponse, rejectAsInvalid}, true},
-		{"rejected as invalid before the first attempt is executed", []func(func() (uint64, error)) (uint64, error){executeLate, rejectAsInvalid}, false},
-		{"both after two attempts without a response", []func(func() (uint64, error)) (uint64, error){executeLate, executeAndLoseResponse, rejectAsInvalid}, true},
+		{"conflict with the first attempt", []attemptHandler{executeAndLoseResponse}, true},
+		{"rejected as invalid after the first attempt", []attemptHandler{executeAndLoseResponse, rejectAsInvalid}, true},
+		{"rejected as invalid before the first attempt is executed", []attemptHandler{executeLate, rejectAsInvalid}, false},
+		{"both after two attempts without a response", []attemptHandler{executeLate, executeAndLoseResponse, rejectAsInvalid}, true},
+		{"reassigned after the first attempt", []attemptHandler{executeAndLoseResponse, reassignFirst}, true},
+		{"reassigned before the first attempt is executed", []attemptHandler{executeLate, reassignFirst}, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			withSchedulerAndStore(t, map[string]int{}, func(store *simulation.Store, cache *statecache.Cache, s *Scheduler) {
 				inActor(s, func() { s.workers = make(commandRecorder, 100) })
-				attempts := &bindingAttempts{handlers: test.handlers}
+				attempts := &bindingAttempts{store: store, handlers: test.handlers}
 				attempts.onFirst = func(txn *wire.Txn) {
 					store.SetUnreadableFor("n0", test.unreadable)
 					// The next cycle prefers another machine, as after a command without a response.
