autoscaler tests: one fixture for a leader, provisioning tests in their file

Need: withLeader had grown two wrappers, one for each more thing that a test needs, and autoscaler_test.go held the fixture and tests of several parts.

Change: leaderFixture holds the network, store, cache, cloud and autoscaler; it is in helpers_test.go, and the provisioning tests in provisioning_test.go. No check changed: the tests' bodies are the same.

--- a/internal/autoscaler/autoscaler_test.go
+++ b/internal/autoscaler/autoscaler_test.go
@@ -1,78 +1,19 @@
 package autoscaler
 
 import (
-	"context"
 	"fmt"
-	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"lynxledge/internal/config"
-	"lynxledge/internal/simulation"
 	"lynxledge/internal/statecache"
 	"lynxledge/wire"
 )
 
-// withLeader runs f with the autoscaler of a leader, a simulated cloud that has limit machines of
-// each type, and a service with one pending replica.
-func withLeader(t *testing.T, limit int, f func(cache *statecache.Cache, c *simulation.Cloud, a *Autoscaler), extraTypes ...wire.MachineType) {
-	t.Helper()
-	withLeaderOn(t, simulation.NewNetwork(1, time.Millisecond), limit, f, extraTypes...)
-}
-
-// withLeaderOn is like withLeader, over the given network.
-func withLeaderOn(t *testing.T, net *simulation.Network, limit int, f func(cache *statecache.Cache, c *simulation.Cloud, a *Autoscaler), extraTypes ...wire.MachineType) {
-	t.Helper()
-	withLeaderAndStore(t, net, limit, func(_ *simulation.Store, cache *statecache.Cache, c *simulation.Cloud, a *Autoscaler) { f(cache, c, a) }, extraTypes...)
-}
-
-// withLeaderAndStore is withLeaderOn for tests that also need the store.
-func withLeaderAndStore(t *testing.T, net *simulation.Network, limit int, f func(store *simulation.Store, cache *statecache.Cache, c *simulation.Cloud, a *Autoscaler), extraTypes ...wire.MachineType) {
-	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		cfg := &config.Config{Operator: config.DefaultOperatorSettings()}
-		cfg.Operator.HeadroomShare = 0
-		cfg.Params.Workers = config.WorkerTimings{HeartbeatInterval: 3 * time.Second, LeaseDuration: 34 * time.Second, CancellationDeadline: 64 * time.Second}
-		cfg.Params.Store = config.StoreLimits{MaxValueKB: 8, MaxTxnOps: 8, RequestRate: 150, WriteRate: 50}
-		cfg.Params.Cloud = config.CloudLimits{RequestRate: 3, ListLag: 10 * time.Second}
-		cfg.Params.Teams = []config.TeamQuota{{Name: "red"}}
-		types := []wire.MachineType{{Name: "s", CPUs: 4, MemoryGB: 16, HourlyPrice: 1, BootTime: 25, Zones: []wire.Zone{"a"}}}
-		types = append(types, extraTypes...)
-		store := simulation.NewStore()
-		conn := &simulation.StoreConn{Store: store, Network: net, Member: "n0", Timeout: time.Second}
-		chunk := statecache.ChunkTasks(8)
-		cache := statecache.Start(ctx, conn, statecache.Options{ChunkTasks: chunk, WatchHold: time.Second, MaxViewAge: time.Second, Backoff: 100 * time.Millisecond})
-		cloud := simulation.NewCloud(1, types, limit, 10*time.Second, func(instance wire.Instance) *simulation.Worker {
-			return simulation.NewWorker(ctx, instance, simulation.WorkerOptions{
-				HeartbeatInterval: 3 * time.Second, LeaseDuration: 34 * time.Second, Members: []string{"n0"}, Network: net, Checker: simulation.NewInvariantChecker(cfg.Params),
-				PostHeartbeat: func(string) simulation.HeartbeatPoster { return nil },
-			}, 0)
-		})
-		a := Start(ctx, Options{Config: cfg, Incarnation: 7, Cache: cache, Cloud: &simulation.CloudConn{Cloud: cloud, Network: net, Member: "n0", Timeout: 4 * time.Second, MachineContext: ctx},
-			Prober: &simulation.WorkerConn{Cloud: cloud, Network: net, Member: "n0", Timeout: time.Second}, OnProbeResponse: func(*wire.Heartbeat) {}})
-		a.SetMachineTypes(types)
-		cache.Run()
-		time.Sleep(time.Second)
-		cache.Commit(statecache.Commit{Puts: []statecache.Put{
-			{Key: statecache.LeaderKey, Record: &statecache.Leader{Member: "n0", Incarnation: 7, Term: 1}},
-			{Key: statecache.TermKey, Record: &statecache.Term{Number: 1}},
-			{Key: statecache.Key(statecache.KindJob, "req-000001"), Record: &statecache.Job{TaskCount: 1, SubmittedAt: statecache.TimestampOf(time.Now()), Spec: &wire.Job{
-				ID: "req-000001", Team: "red", Kind: wire.KindService, Priority: wire.PriorityProduction, TaskCount: 1, CPUs: 4, MemoryGB: 1,
-			}}},
-		}}, func(statecache.Outcome) {})
-		f(store, cache, cloud, a)
-		cancel()
-		time.Sleep(time.Minute)
-	})
-}
-
 // Guards against a stuck boot of a pool's only machine blocking the pool: it used to do so for three
 // boot times, while every replica of the zone was pending.
 func TestStuckBootFreesItsPool(t *testing.T) {
-	withLeader(t, 1, func(_ *statecache.Cache, c *simulation.Cloud, _ *Autoscaler) {
+	withLeader(t, 1, func(f *leaderFixture) {
+		c := f.cloud
 		c.StallBoots(1)
 		time.Sleep(75 * time.Second) // 1.6 boot times, a planning cycle, and another boot time
 		if len(c.RunningMachines()) != 1 {
@@ -81,59 +22,12 @@
 	})
 }
 
-// One machine is provisioned for one pending replica, however many planning cycles its boot takes.
-func TestProvisionsOnce(t *testing.T) {
-	withLeader(t, 5, func(_ *statecache.Cache, c *simulation.Cloud, _ *Autoscaler) {
-		time.Sleep(24 * time.Second)
-		if n := len(c.RunningMachines()); n != 1 {
-			t.Errorf("%d machines up for one replica", n)
-		}
-	})
-}
-
-// A machine is provisioned once even if the response to the intent's transaction is lost, whether the
-// store has executed it, and can't be read for the next cycle, or executes it after that cycle: the
-// cycle must not plan from a view that lacks the intent.
-func TestProvisionsOnceAfterALostResponse(t *testing.T) {
-	for _, test := range []struct {
-		name       string
-		lateBy     time.Duration // the store executes the transaction that much later
-		unreadable bool
-	}{
-		{"executed, then unreadable", 0, true},
-		{"executed late", 8 * time.Second, false},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			withLeaderAndStore(t, simulation.NewNetwork(1, time.Millisecond), 5, func(store *simulation.Store, _ *statecache.Cache, c *simulation.Cloud, _ *Autoscaler) {
-				lost := false
-				store.InterceptCommits(func(_ string, txn *wire.Txn, execute func() (uint64, error)) (uint64, error) {
-					if lost || !strings.HasPrefix(txn.Writes[0].Key(), statecache.Key(statecache.KindProvisioningIntent, "")) {
-						return execute()
-					}
-					lost = true
-					store.SetUnreadableFor("n0", test.unreadable)
-					time.AfterFunc(test.lateBy, func() { _, _ = execute() })
-					return 0, context.DeadlineExceeded
-				})
-				most := 0
-				for second := range 45 {
-					time.Sleep(time.Second)
-					store.SetUnreadableFor("n0", lost && test.unreadable && second < 12)
-					most = max(most, len(c.RunningMachines()))
-				}
-				if !lost || most != 1 {
-					t.Errorf("%d machines up at once for one replica; response lost: %v", most, lost)
-				}
-			})
-		})
-	}
-}
-
 // Guards against scaling in an unreachable machine when only half of its replicas fit on others and
 // the cloud has no machine left: it may only be partitioned, so it is kept for two leases. One that
 // runs only arrays is scaled in soon.
 func TestIrreplaceableMachineIsKept(t *testing.T) {
-	withLeader(t, 0, func(cache *statecache.Cache, _ *simulation.Cloud, a *Autoscaler) {
+	withLeader(t, 0, func(f *leaderFixture) {
+		cache, a := f.cache, f.autoscaler
 		group := func(m wire.MachineID, tasks ...statecache.TaskBinding) statecache.Put {
 			return statecache.Put{Key: statecache.Key(statecache.KindMachineGroup, "g."+string(m)), Record: &statecache.MachineGroup{
 				MachineType: "s", Zone: "a", ProvisionedAt: statecache.TimestampOf(time.Now()),
@@ -183,7 +77,8 @@
 // count as provisioned, and pending work gets none until the next planning cycle or the one after.
 func TestReplansWithoutExhaustedPoolAtOnce(t *testing.T) {
 	expensive := wire.MachineType{Name: "l", CPUs: 16, MemoryGB: 64, HourlyPrice: 5, BootTime: 25, Zones: []wire.Zone{"a"}}
-	withLeader(t, 2, func(cache *statecache.Cache, c *simulation.Cloud, a *Autoscaler) {
+	withLeader(t, 2, func(f *leaderFixture) {
+		cache, a := f.cache, f.autoscaler
 		job := func(id wire.JobID, tasks int, types ...string) statecache.Put {
 			return statecache.Put{Key: statecache.Key(statecache.KindJob, string(id)), Record: &statecache.Job{TaskCount: tasks, SubmittedAt: statecache.TimestampOf(time.Now()), Spec: &wire.Job{
 				ID: id, Team: "red", Kind: wire.KindService, Priority: wire.PriorityProduction, TaskCount: tasks, CPUs: 4, MemoryGB: 1, MachineTypes: types,
@@ -209,7 +104,8 @@
 // count as written if updates of other groups were in the same transaction, so that a machine to be
 // scaled in was kept.
 func TestUpdateOfFullRecordWaits(t *testing.T) {
-	withLeader(t, 0, func(cache *statecache.Cache, _ *simulation.Cloud, a *Autoscaler) {
+	withLeader(t, 0, func(f *leaderFixture) {
+		cache, a := f.cache, f.autoscaler
 		machine := func(name wire.MachineID, tasks int) *statecache.Machine {
 			m := &statecache.Machine{Name: name, Address: "x:1", Incarnation: 1, FencingToken: 1 << 33}
 			for n := range tasks {
@@ -250,8 +146,8 @@
 // half. By then their group has been merged into another: a duplicate must not restore the machine
 // with nothing bound to it, or its task would be placed a second time.
 func TestLateCommitDoesNotUndoAMerge(t *testing.T) {
-	net := simulation.NewNetwork(1, time.Millisecond)
-	withLeaderOn(t, net, 1, func(cache *statecache.Cache, _ *simulation.Cloud, a *Autoscaler) {
+	withLeader(t, 1, func(f *leaderFixture) {
+		net, cache, a := f.network, f.cache, f.autoscaler
 		time.Sleep(time.Second)
 		net.SetLossAndDuplication(0, 1)
 		time.Sleep(8 * time.Second)
@@ -290,7 +186,8 @@
 // full: each machine entry that is rewritten in a later term grows. They must be written
 // nevertheless, or unreachable machines are never scaled in.
 func TestUpdatesThatFillARecordAreWritten(t *testing.T) {
-	withLeader(t, 0, func(cache *statecache.Cache, _ *simulation.Cloud, a *Autoscaler) {
+	withLeader(t, 0, func(f *leaderFixture) {
+		cache, a := f.cache, f.autoscaler
 		time.Sleep(time.Second) // term 1 is recorded; the test goes on in term 2
 		limit := a.config.Params.Store.ValueSizeLimit()
 		g := &statecache.MachineGroup{Name: "g", MachineType: "s", Zone: "a"}
--- a/internal/autoscaler/provisioning_test.go
+++ b/internal/autoscaler/provisioning_test.go
@@ -1,6 +1,8 @@
 package autoscaler
 
 import (
+	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -77,3 +79,53 @@
 		t.Error("not done with nothing left")
 	}
 }
+
+// One machine is provisioned for one pending replica, however many planning cycles its boot takes.
+func TestProvisionsOnce(t *testing.T) {
+	withLeader(t, 5, func(f *leaderFixture) {
+		c := f.cloud
+		time.Sleep(24 * time.Second)
+		if n := len(c.RunningMachines()); n != 1 {
+			t.Errorf("%d machines up for one replica", n)
+		}
+	})
+}
+
+// A machine is provisioned once even if the response to the intent's transaction is lost, whether the
+// store has executed it, and can't be read for the next cycle, or executes it after that cycle: the
+// cycle must not plan from a view that lacks the intent.
+func TestProvisionsOnceAfterALostResponse(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		lateBy     time.Duration // the store executes the transaction that much later
+		unreadable bool
+	}{
+		{"executed, then unreadable", 0, true},
+		{"executed late", 8 * time.Second, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withLeader(t, 5, func(f *leaderFixture) {
+				store, c := f.store, f.cloud
+				lost := false
+				store.InterceptCommits(func(_ string, txn *wire.Txn, execute func() (uint64, error)) (uint64, error) {
+					if lost || !strings.HasPrefix(txn.Writes[0].Key(), statecache.Key(statecache.KindProvisioningIntent, "")) {
+						return execute()
+					}
+					lost = true
+					store.SetUnreadableFor("n0", test.unreadable)
+					time.AfterFunc(test.lateBy, func() { _, _ = execute() })
+					return 0, context.DeadlineExceeded
+				})
+				most := 0
+				for second := range 45 {
+					time.Sleep(time.Second)
+					store.SetUnreadableFor("n0", lost && test.unreadable && second < 12)
+					most = max(most, len(c.RunningMachines()))
+				}
+				if !lost || most != 1 {
+					t.Errorf("%d machines up at once for one replica; response lost: %v", most, lost)
+				}
+			})
+		})
+	}
+}
