Tests of lost responses: what interceptors share with the test is synchronized

Change: atomic variables, and a mutex in bindingAttempts, in all four tests with an interceptor, also where the detector had found nothing. No check changed.

--- a/cmd/lynxledge/lost_response_test.go
+++ b/cmd/lynxledge/lost_response_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,18 +19,18 @@
 // tasks, and makes the store unreadable for that controller from then on.
 func (c *cluster) loseNextBindingResponse(member string) (lost func() bool) {
 	assignments := statecache.Key(statecache.KindAssignment, "")
-	done := false
+	var done atomic.Bool
 	c.store.InterceptCommits(func(from string, txn *wire.Txn, execute func() (uint64, error)) (uint64, error) {
 		revision, err := execute()
 		binds := slices.ContainsFunc(txn.Preconditions, func(p wire.Precondition) bool { return strings.HasPrefix(p.Key, assignments) })
-		if done || err != nil || from != member || !binds {
+		if done.Load() || err != nil || from != member || !binds {
 			return revision, err
 		}
-		done = true
+		done.Store(true)
 		c.store.SetUnreadableFor(member, true)
 		return 0, errResponseLost
 	})
-	return func() bool { return done }
+	return done.Load
 }
 
 // A scheduler whose commit was executed without a response, and that can't read the store, waits
--- a/internal/autoscaler/provisioning_test.go
+++ b/internal/autoscaler/provisioning_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -106,12 +107,12 @@
 		t.Run(test.name, func(t *testing.T) {
 			withLeader(t, 5, func(f *leaderFixture) {
 				store, c := f.store, f.cloud
-				lost := false
+				var lost atomic.Bool
 				store.InterceptCommits(func(_ string, txn *wire.Txn, execute func() (uint64, error)) (uint64, error) {
-					if lost || !strings.HasPrefix(txn.Writes[0].Key(), statecache.Key(statecache.KindProvisioningIntent, "")) {
+					if lost.Load() || !strings.HasPrefix(txn.Writes[0].Key(), statecache.Key(statecache.KindProvisioningIntent, "")) {
 						return execute()
 					}
-					lost = true
+					lost.Store(true)
 					store.SetUnreadableFor("n0", test.unreadable)
 					time.AfterFunc(test.lateBy, func() { _, _ = execute() })
 					return 0, context.DeadlineExceeded
@@ -119,11 +120,11 @@
 				most := 0
 				for second := range 45 {
 					time.Sleep(time.Second)
-					store.SetUnreadableFor("n0", lost && test.unreadable && second < 12)
+					store.SetUnreadableFor("n0", lost.Load() && test.unreadable && second < 12)
 					most = max(most, len(c.RunningMachines()))
 				}
-				if !lost || most != 1 {
-					t.Errorf("%d machines up at once for one replica; response lost: %v", most, lost)
+				if !lost.Load() || most != 1 {
+					t.Errorf("%d machines up at once for one replica; response lost: %v", most, lost.Load())
 				}
 			})
 		})
--- a/internal/scheduler/uncertain_commit_test.go
+++ b/internal/scheduler/uncertain_commit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,22 +23,45 @@
 // bindingAttempts handles the attempts to commit bindings, each with the next of its handlers, and
 // all other transactions as the store does.
 type bindingAttempts struct {
-	store    *simulation.Store
+	store *simulation.Store
+
+	mu       sync.Mutex // guards the fields below
 	handlers []attemptHandler
 	onFirst  func(txn *wire.Txn) // called with the first attempt's transaction, before it is handled
 }
 
 func (a *bindingAttempts) intercept(_ string, txn *wire.Txn, execute func() (uint64, error)) (uint64, error) {
-	if len(a.handlers) == 0 || !bindsTasks(txn) {
+	if !bindsTasks(txn) {
+		return execute()
+	}
+	handle := a.next(txn)
+	if handle == nil {
 		return execute()
 	}
+	return handle(a.store, execute)
+}
+
+// next returns the handler of the next attempt; nil if none is left.
+func (a *bindingAttempts) next(txn *wire.Txn) attemptHandler {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.handlers) == 0 {
+		return nil
+	}
 	if a.onFirst != nil {
 		a.onFirst(txn)
 		a.onFirst = nil
 	}
 	handle := a.handlers[0]
 	a.handlers = a.handlers[1:]
-	return handle(a.store, execute)
+	return handle
+}
+
+// remaining returns the number of attempts that were not made.
+func (a *bindingAttempts) remaining() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.handlers)
 }
 
 // bindsTasks reports whether a transaction is conditional on an assignment, as one with bindings is.
@@ -125,8 +149,8 @@
 				store.SetUnreadableFor("n0", false)
 				time.Sleep(30 * time.Second)
 				inActor(s, func() {
-					if len(attempts.handlers) > 0 {
-						t.Errorf("%d attempts were not made", len(attempts.handlers))
+					if n := attempts.remaining(); n > 0 {
+						t.Errorf("%d attempts were not made", n)
 					}
 					var machines []wire.MachineID
 					for name, machine := range s.view.Machines {
--- a/internal/statecache/catch_up_test.go
+++ b/internal/statecache/catch_up_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,13 +18,13 @@
 
 // loseResponses returns an interceptor that loses the responses to the next n transactions, and
 // makes the store unreadable for their member with the first of them.
-func loseResponses(store *simulation.Store, n int) simulation.CommitInterceptor {
+func loseResponses(store *simulation.Store, n int32) simulation.CommitInterceptor {
+	var attempts atomic.Int32
 	return func(member string, _ *wire.Txn, execute func() (uint64, error)) (uint64, error) {
 		revision, err := execute()
-		if n == 0 {
+		if attempts.Add(1) > n {
 			return revision, err
 		}
-		n--
 		store.SetUnreadableFor(member, true)
 		return 0, errResponseLost
 	}
