--- a/cmd/lynxledge/lost_response_test.go
+++ b/cmd/lynxledge/lost_response_test.go
@@ -34,8 +34,8 @@
 }
 
 // A scheduler whose commit was executed without a response, and that can't read the store, waits
-// for the store. Meanwhile jobs are cancelled elsewhere, and then the store is out for all
-// controllers for longer than the cancellation deadline. The cancelled tasks are gone within it,
+// for the store. Meanwhile jobs are cancelled elsewhere; in one run the store is then out for all
+// controllers for as long as the cancellation deadline. The cancelled tasks are gone within it,
 // those of the commit included, and no task starts twice once the store is back.
 func TestWaitingSchedulerHoldsUpNoCancellation(t *testing.T) {
 	for _, outage := range []bool{false, true} {
--- a/internal/autoscaler/provisioning_test.go
+++ b/internal/autoscaler/provisioning_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -108,7 +109,11 @@
 			withLeader(t, 5, func(f *leaderFixture) {
 				store, c := f.store, f.cloud
 				var lost atomic.Bool
+				var intents sync.Map // keys of the intents that were sent
 				store.InterceptCommits(func(_ string, txn *wire.Txn, execute func() (uint64, error)) (uint64, error) {
+					if key := txn.Writes[0].PutKey; strings.HasPrefix(key, statecache.Key(statecache.KindProvisioningIntent, "")) {
+						intents.Store(key, true)
+					}
 					if lost.Load() || !strings.HasPrefix(txn.Writes[0].Key(), statecache.Key(statecache.KindProvisioningIntent, "")) {
 						return execute()
 					}
@@ -126,6 +131,11 @@
 				if !lost.Load() || most != 1 {
 					t.Errorf("%d machines up at once for one replica; response lost: %v", most, lost.Load())
 				}
+				sent := 0
+				intents.Range(func(any, any) bool { sent++; return true })
+				if sent != 1 {
+					t.Errorf("%d intents for one replica", sent)
+				}
 			})
 		})
 	}
--- a/internal/statecache/catch_up_test.go
+++ b/internal/statecache/catch_up_test.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// conflictFixture is a cache over a store, and a commit that is about to conflict.
+// conflictFixture is a cache over a simulated store.
 type conflictFixture struct {
 	ctx   context.Context
 	store *simulation.Store
