Tests: one fixture for the controllers of heartbeat's tests, fleets share their timings

Cause: eight tests of internal/heartbeat began with the same four lines (a bubble, a context, its cancellation, a controller), and TestFleet's fleets repeated the timings and cloud limits of their kind.

Change: withController starts the controller in its bubble and ends it; the fleets' common settings are named once. No check or value changes.

--- a/cmd/lynxledge/fleet_test.go
+++ b/cmd/lynxledge/fleet_test.go
@@ -47,6 +47,13 @@
 	{Name: "b", CPUs: 16, MemoryGB: 128, CacheGB: 40, ImageFetchGBps: 1, HourlyPrice: 0.78, HourlySpotPrice: 0.2, BootTime: 20, Zones: []wire.Zone{"b", "c"}},
 }
 
+// Timings and limits that fleets with the same number of controllers share.
+var (
+	timingsOfThree     = config.WorkerTimings{HeartbeatInterval: 5 * time.Second, LeaseDuration: 34 * time.Second, CancellationDeadline: 64 * time.Second}
+	timingsOfSeven     = config.WorkerTimings{HeartbeatInterval: 8 * time.Second, LeaseDuration: 44 * time.Second, CancellationDeadline: 74 * time.Second}
+	cloudLimitsOfSeven = config.CloudLimits{RequestRate: 10, ListLag: 10 * time.Second}
+)
+
 // fleets are of two kinds: three controllers with a fast store, and seven with one that takes some
 // 20 writes a second. Each kind comes with 1.5 times the machines of the larger deployments, and
 // with some 4,000 machines on small controllers, whose sockets are too few for all machines.
@@ -57,7 +64,7 @@
 			machineTypes: threeMachineTypes,
 		},
 		adjust: func(p *config.Params) {
-			p.Workers = config.WorkerTimings{HeartbeatInterval: 5 * time.Second, LeaseDuration: 34 * time.Second, CancellationDeadline: 64 * time.Second}
+			p.Workers = timingsOfThree
 			p.Store = config.StoreLimits{RequestRate: 600, WriteRate: 180, MaxValueKB: 8, MaxTxnOps: 24}
 			p.Resources = config.ControllerResources{CPUs: 0.336, MemoryMB: 220, FileDescriptorLimit: 2783}
 		},
@@ -69,9 +76,9 @@
 			machineTypes: twoMachineTypes,
 		},
 		adjust: func(p *config.Params) {
-			p.Workers = config.WorkerTimings{HeartbeatInterval: 8 * time.Second, LeaseDuration: 44 * time.Second, CancellationDeadline: 74 * time.Second}
+			p.Workers = timingsOfSeven
 			p.Store = config.StoreLimits{RequestRate: 180, WriteRate: 18, MaxValueKB: 4, MaxTxnOps: 8}
-			p.Cloud = config.CloudLimits{RequestRate: 10, ListLag: 10 * time.Second}
+			p.Cloud = cloudLimitsOfSeven
 			p.Resources = config.ControllerResources{CPUs: 0.252, MemoryMB: 322, FileDescriptorLimit: 4233}
 		},
 		arrays: 30, urgent: 4, services: 260, tasks: 100, replicas: 12, cpus: 4, memoryGB: 29,
@@ -82,9 +89,9 @@
 			machineTypes: twoMachineTypes,
 		},
 		adjust: func(p *config.Params) {
-			p.Workers = config.WorkerTimings{HeartbeatInterval: 8 * time.Second, LeaseDuration: 44 * time.Second, CancellationDeadline: 74 * time.Second}
+			p.Workers = timingsOfSeven
 			p.Store = config.StoreLimits{RequestRate: 200, WriteRate: 20, MaxValueKB: 4, MaxTxnOps: 8}
-			p.Cloud = config.CloudLimits{RequestRate: 10, ListLag: 10 * time.Second}
+			p.Cloud = cloudLimitsOfSeven
 			p.Resources = config.ControllerResources{CPUs: 0.09, MemoryMB: 212, FileDescriptorLimit: 5000}
 		},
 		arrays: 66, urgent: 4, services: 390, tasks: 100, replicas: 12, cpus: 4, memoryGB: 29, partitionedZone: "c", fewSockets: true,
@@ -95,7 +102,7 @@
 			machineTypes: threeMachineTypes,
 		},
 		adjust: func(p *config.Params) {
-			p.Workers = config.WorkerTimings{HeartbeatInterval: 5 * time.Second, LeaseDuration: 34 * time.Second, CancellationDeadline: 64 * time.Second}
+			p.Workers = timingsOfThree
 			p.Store = config.StoreLimits{RequestRate: 150, WriteRate: 50, MaxValueKB: 8, MaxTxnOps: 24}
 			p.Resources = config.ControllerResources{CPUs: 0.3, MemoryMB: 300, FileDescriptorLimit: 800}
 		},
--- a/internal/heartbeat/receiver_test.go
+++ b/internal/heartbeat/receiver_test.go
@@ -53,6 +53,16 @@
 	return c
 }
 
+// withController runs test in a synctest bubble with a controller, which ends with the test.
+func withController(t *testing.T, machine *statecache.Machine, job *statecache.Job, test func(t *testing.T, c *controller)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		test(t, newController(ctx, t, machine, job))
+	})
+}
+
 // send sends a heartbeat of the machine and returns the response.
 func (c *controller) send(heartbeat wire.Heartbeat) Response {
 	return c.sendAfter(func(*Receiver) {}, heartbeat)
@@ -127,10 +137,7 @@
 // the worker returns, this controller writes the evidence after a while. Guards against controllers
 // that can't reach each other and delay each other with conflicting writes of evidence.
 func TestWorkerRedirectedToUnreachableScheduler(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		c := newController(ctx, t, &statecache.Machine{Incarnation: 1, FencingToken: 9, Bindings: []statecache.TaskBinding{{Job: "req-000001", Attempt: 1}}}, &statecache.Job{TaskCount: 9})
+	withController(t, &statecache.Machine{Incarnation: 1, FencingToken: 9, Bindings: []statecache.TaskBinding{{Job: "req-000001", Attempt: 1}}}, &statecache.Job{TaskCount: 9}, func(t *testing.T, c *controller) {
 		c.cache.Commit(statecache.Commit{Puts: []statecache.Put{
 			{Key: statecache.Key(statecache.KindAssignment, "red"), Record: &statecache.Assignment{Member: "n1", Incarnation: 4}},
 			{Key: statecache.Key(statecache.KindMember, "n1"), Record: &statecache.Member{Incarnation: 4}},
@@ -156,10 +163,7 @@
 // them then, which cost 1,400 worker incarnations in an outage of 50 s
 // (docs/incidents/inc-ec15-gebeya-grown.md).
 func TestControllerWithoutStoreRedirectsItsWorkers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		c := newController(ctx, t, &statecache.Machine{Incarnation: 1, FencingToken: 9}, &statecache.Job{TaskCount: 1})
+	withController(t, &statecache.Machine{Incarnation: 1, FencingToken: 9}, &statecache.Job{TaskCount: 1}, func(t *testing.T, c *controller) {
 		age := c.receiver.renewalWindow() * 3 / 4
 		if r := c.sendAtViewAge(age, wire.Heartbeat{Incarnation: 1, Sequence: 1}); r.Outcome != Accepted {
 			t.Error("refused in an outage that affects all controllers")
@@ -182,10 +186,7 @@
 // the machine's record and don't mark the machine as reachable. A heartbeat of a machine whose
 // record was deleted doesn't create one.
 func TestLateCopiesChangeNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		c := newController(ctx, t, &statecache.Machine{Incarnation: 2, FencingToken: 9, Suspected: true, DrainReason: "faulty"}, &statecache.Job{TaskCount: 1})
+	withController(t, &statecache.Machine{Incarnation: 2, FencingToken: 9, Suspected: true, DrainReason: "faulty"}, &statecache.Job{TaskCount: 1}, func(t *testing.T, c *controller) {
 		before := c.machine()
 		c.sendAndSettle(wire.Heartbeat{Incarnation: 2, Sequence: 7, FencingToken: 8}) // sent before the machine was suspected
 		c.sendAndSettle(wire.Heartbeat{Incarnation: 1, Sequence: 3, FencingToken: 8}) // from an earlier incarnation
@@ -217,10 +218,7 @@
 // it, stops counting as reachable, so that the leader suspects and terminates it. It counts as
 // reachable again once it acknowledges a response.
 func TestInboundPartitionedMachineIsUnreachable(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		c := newController(ctx, t, &statecache.Machine{Incarnation: 1, FencingToken: 9}, &statecache.Job{TaskCount: 1})
+	withController(t, &statecache.Machine{Incarnation: 1, FencingToken: 9}, &statecache.Job{TaskCount: 1}, func(t *testing.T, c *controller) {
 		for sequence := range uint64(6) {
 			c.send(wire.Heartbeat{Incarnation: 1, Sequence: sequence + 1, FencingToken: 5})
 			time.Sleep(3 * time.Second)
@@ -238,10 +236,7 @@
 
 // A controller whose view may lack cancellations must not renew leases.
 func TestStaleControllerRefusesHeartbeats(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		c := newController(ctx, t, &statecache.Machine{Incarnation: 1, FencingToken: 9}, &statecache.Job{TaskCount: 1})
+	withController(t, &statecache.Machine{Incarnation: 1, FencingToken: 9}, &statecache.Job{TaskCount: 1}, func(t *testing.T, c *controller) {
 		if r := c.sendAndSettle(wire.Heartbeat{Incarnation: 1, Sequence: 1}); r.Outcome != Accepted {
 			t.Fatal("refused with a fresh view")
 		}
@@ -254,10 +249,7 @@
 // A controller with an old view launches nothing: the job may have been cancelled since, and the
 // cancellation confirmed to its user. Other commands are still sent, and the lease is renewed.
 func TestNothingLaunchedOnOldView(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		c := newController(ctx, t, &statecache.Machine{Incarnation: 1, FencingToken: 9, Bindings: []statecache.TaskBinding{{Job: "req-000001", Attempt: 8}}}, &statecache.Job{TaskCount: 1})
+	withController(t, &statecache.Machine{Incarnation: 1, FencingToken: 9, Bindings: []statecache.TaskBinding{{Job: "req-000001", Attempt: 8}}}, &statecache.Job{TaskCount: 1}, func(t *testing.T, c *controller) {
 		unbound := []wire.TaskStatus{{Task: "req-000002/0", Attempt: 1, State: wire.TaskExited, ExitReason: wire.ReasonCompleted}}
 		commands := func(viewAge time.Duration, sequence uint64) (ops []wire.CommandOp) {
 			r := c.sendAtViewAge(viewAge, wire.Heartbeat{Incarnation: 1, Sequence: sequence, Tasks: unbound})
@@ -281,10 +273,7 @@
 // A machine that only answers direct commands is not marked reachable: its own heartbeats reach no
 // controller, so its lease expires.
 func TestCommandResponsesAreNoHeartbeats(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		c := newController(ctx, t, &statecache.Machine{Incarnation: 1, FencingToken: 9}, &statecache.Job{TaskCount: 1})
+	withController(t, &statecache.Machine{Incarnation: 1, FencingToken: 9}, &statecache.Job{TaskCount: 1}, func(t *testing.T, c *controller) {
 		c.receiver.HandleCommandResponse(&wire.Heartbeat{Machine: "i-1", Address: "i-1:1", MachineType: "t", Zone: "z", Incarnation: 1, Sequence: 5, FencingToken: 9})
 		if c.reachable() {
 			t.Error("marked reachable by the response to a command")
@@ -299,10 +288,7 @@
 // In an outage so long that no controller may renew leases, refused heartbeats still mark machines
 // reachable. Otherwise the leader would consider all machines unreachable after the outage.
 func TestRefusedHeartbeatsCountAsReachable(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		c := newController(ctx, t, &statecache.Machine{Incarnation: 1, FencingToken: 9}, &statecache.Job{TaskCount: 1})
+	withController(t, &statecache.Machine{Incarnation: 1, FencingToken: 9}, &statecache.Job{TaskCount: 1}, func(t *testing.T, c *controller) {
 		time.Sleep(100 * time.Millisecond) // until the watch has returned the commit, which refreshes the view
 		if r := c.sendAtViewAge(40*time.Second, wire.Heartbeat{Incarnation: 1, Sequence: 1, FencingToken: 9}); r.Outcome == Accepted || !c.reachable() {
 			t.Errorf("accepted %v, reachable %v", r.Outcome == Accepted, c.reachable())
