statecache: whether a wait has ended follows from the view's revision

Change: flag, pointers and the second check are gone. Behaviour is unchanged.

Measured: the package's tests and those of scheduler, autoscaler and election pass.

--- a/internal/statecache/cache.go
+++ b/internal/statecache/cache.go
@@ -57,7 +57,7 @@
 	progress       progress
 	ownDeletions   ownDeletions
 	refreshes      refreshQueue
-	revisionWaits  []*revisionWait
+	revisionWaits  []revisionWait
 	jobCountWarned bool
 }
 
--- a/internal/statecache/catch_up.go
+++ b/internal/statecache/catch_up.go
@@ -6,7 +6,6 @@
 type revisionWait struct {
 	revision uint64
 	f        func()
-	ended    bool // f was called
 }
 
 // includes reports whether the view is loaded and includes all changes up to a revision.
@@ -19,29 +18,28 @@
 		f()
 		return
 	}
-	wait := &revisionWait{revision: revision, f: f}
-	c.revisionWaits = append(c.revisionWaits, wait)
-	c.refreshUntilEnded(wait, 0)
+	c.revisionWaits = append(c.revisionWaits, revisionWait{revision, f})
+	c.refreshUntil(revision, 0)
 }
 
-// refreshUntilEnded refreshes the view until a wait has ended, with exponential backoff. The watch,
-// or a read for another caller, may end the wait before that.
-func (c *Cache) refreshUntilEnded(wait *revisionWait, failures int) {
-	if wait.ended {
+// refreshUntil refreshes the view until it includes a revision, with exponential backoff. The watch,
+// or a read for another caller, may bring it there before that.
+func (c *Cache) refreshUntil(revision uint64, failures int) {
+	if c.progress.includes(revision) {
 		return
 	}
 	c.refresh(func(err error) {
-		if wait.ended {
+		if c.progress.includes(revision) {
 			return
 		}
-		slog.Debug("commit waits for the view", "revision", wait.revision, "view_revision", c.progress.revision, "error", err)
-		c.After(c.backoffDelay(failures), func() { c.refreshUntilEnded(wait, failures+1) })
+		slog.Debug("commit waits for the view", "revision", revision, "view_revision", c.progress.revision, "error", err)
+		c.After(c.backoffDelay(failures), func() { c.refreshUntil(revision, failures+1) })
 	})
 }
 
 // endRevisionWaits ends the waits for revisions that the view includes.
 func (c *Cache) endRevisionWaits() {
-	var ended, open []*revisionWait
+	var ended, open []revisionWait
 	for _, wait := range c.revisionWaits {
 		if c.progress.includes(wait.revision) {
 			ended = append(ended, wait)
@@ -51,15 +49,14 @@
 	}
 	c.revisionWaits = open
 	for _, wait := range ended {
-		wait.ended = true
 		wait.f()
 	}
 }
 
-// tryCatchUp refreshes the view, if it is loaded and does not include a revision yet, and calls f
-// even if that fails.
+// tryCatchUp refreshes the view if it does not include a revision yet, and calls f even if that
+// fails.
 func (c *Cache) tryCatchUp(revision uint64, f func()) {
-	if !c.progress.loaded || c.progress.includes(revision) {
+	if c.progress.includes(revision) {
 		f()
 		return
 	}
