simulation.ErrNoResponse: one error for lost responses in place of three in tests

The tests of lost responses had an error of their own each, and a fourth used a deadline's, while the simulation has the error that a lost response gives a caller, unexported. It is exported, and they return it. The provisioning test looked for its key twice; the scheduler's test had a loop for slices.ContainsFunc. No assertion changes.

--- a/cmd/lynxledge/lost_response_test.go
+++ b/cmd/lynxledge/lost_response_test.go
@@ -1,20 +1,17 @@
 package main
 
 import (
-	"errors"
 	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"lynxledge/internal/simulation"
 	"lynxledge/internal/statecache"
 	"lynxledge/wire"
 )
 
-// errResponseLost stands for the response to a transaction that the store executed.
-var errResponseLost = errors.New("response lost")
-
 // loseNextBindingResponse loses the response to the next transaction in which a controller binds
 // tasks, and makes the store unreadable for that controller from then on.
 func (c *cluster) loseNextBindingResponse(member string) (lost func() bool) {
@@ -28,7 +25,7 @@
 		}
 		done.Store(true)
 		c.store.SetUnreadableFor(member, true)
-		return 0, errResponseLost
+		return 0, simulation.ErrNoResponse
 	})
 	return done.Load
 }
--- a/internal/autoscaler/provisioning_test.go
+++ b/internal/autoscaler/provisioning_test.go
@@ -1,7 +1,6 @@
 package autoscaler
 
 import (
-	"context"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -9,6 +8,7 @@
 	"time"
 
 	"lynxledge/internal/resources"
+	"lynxledge/internal/simulation"
 	"lynxledge/internal/statecache"
 	"lynxledge/wire"
 )
@@ -111,16 +111,17 @@
 				var lost atomic.Bool
 				var intents sync.Map // keys of the intents that were sent
 				store.InterceptCommits(func(_ string, txn *wire.Txn, execute func() (uint64, error)) (uint64, error) {
-					if key := txn.Writes[0].PutKey; strings.HasPrefix(key, statecache.Key(statecache.KindProvisioningIntent, "")) {
-						intents.Store(key, true)
+					key := txn.Writes[0].PutKey
+					if !strings.HasPrefix(key, statecache.Key(statecache.KindProvisioningIntent, "")) {
+						return execute()
 					}
-					if lost.Load() || !strings.HasPrefix(txn.Writes[0].Key(), statecache.Key(statecache.KindProvisioningIntent, "")) {
+					intents.Store(key, true)
+					if lost.Swap(true) {
 						return execute()
 					}
-					lost.Store(true)
 					store.SetUnreadableFor("n0", test.unreadable)
 					time.AfterFunc(test.lateBy, func() { _, _ = execute() })
-					return 0, context.DeadlineExceeded
+					return 0, simulation.ErrNoResponse
 				})
 				most := 0
 				for second := range 45 {
--- a/internal/scheduler/uncertain_commit_test.go
+++ b/internal/scheduler/uncertain_commit_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -14,9 +14,6 @@
 	"lynxledge/wire"
 )
 
-// errResponseLost stands for the response to a transaction that the store may have executed.
-var errResponseLost = errors.New("response lost")
-
 // attemptHandler handles an attempt to commit bindings in place of the store.
 type attemptHandler func(store *simulation.Store, execute func() (uint64, error)) (uint64, error)
 
@@ -66,23 +63,19 @@
 
 // bindsTasks reports whether a transaction is conditional on an assignment, as one with bindings is.
 func bindsTasks(txn *wire.Txn) bool {
-	for i := range txn.Preconditions {
-		if strings.HasPrefix(txn.Preconditions[i].Key, statecache.Key(statecache.KindAssignment, "")) {
-			return true
-		}
-	}
-	return false
+	assignments := statecache.Key(statecache.KindAssignment, "")
+	return slices.ContainsFunc(txn.Preconditions, func(p wire.Precondition) bool { return strings.HasPrefix(p.Key, assignments) })
 }
 
 func executeAndLoseResponse(_ *simulation.Store, execute func() (uint64, error)) (uint64, error) {
 	_, _ = execute()
-	return 0, errResponseLost
+	return 0, simulation.ErrNoResponse
 }
 
 // executeLate has the store execute a transaction that got no response 3 s later.
 func executeLate(_ *simulation.Store, execute func() (uint64, error)) (uint64, error) {
 	time.AfterFunc(3*time.Second, func() { _, _ = execute() })
-	return 0, errResponseLost
+	return 0, simulation.ErrNoResponse
 }
 
 func rejectAsInvalid(*simulation.Store, func() (uint64, error)) (uint64, error) {
--- a/internal/simulation/connections.go
+++ b/internal/simulation/connections.go
@@ -69,7 +69,7 @@
 		l := cs.listeners[addr]
 		cs.mu.Unlock()
 		if l == nil {
-			return nil, errNoResponse
+			return nil, ErrNoResponse
 		}
 		if cs.network.partitionBetween(host, l.host) != nil {
 			<-ctx.Done()
@@ -84,7 +84,7 @@
 		case <-l.closed:
 			dialerConn.abort()
 			listenerConn.abort()
-			return nil, errNoResponse
+			return nil, ErrNoResponse
 		case <-ctx.Done():
 			dialerConn.abort()
 			listenerConn.abort()
@@ -156,7 +156,7 @@
 		return len(b), nil
 	default:
 		c.abort() // the queue is full: the other end has not read for long, or a partition holds the data
-		return 0, errNoResponse
+		return 0, ErrNoResponse
 	}
 }
 
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -14,8 +14,8 @@
 	CloudHost = "cloud"
 )
 
-// errNoResponse is returned when a request or its response is lost, late or held by a partition.
-var errNoResponse = errors.New("no response")
+// ErrNoResponse is returned when a request or its response is lost, late or held by a partition.
+var ErrNoResponse = errors.New("no response")
 
 // Network simulates the network between hosts: latency, loss and duplication of messages, and
 // partitions.
@@ -200,7 +200,7 @@
 
 // send sends a request from one host to another, where f handles it; the network may lose, delay or
 // duplicate it. A duplicate is delivered even if a partition separates the hosts. The caller gets
-// errNoResponse unless the response arrives within timeout.
+// ErrNoResponse unless the response arrives within timeout.
 func send[T any](ctx context.Context, n *Network, from, to string, timeout time.Duration, f func() (T, error)) (T, error) {
 	var zero T
 	type result struct {
@@ -240,7 +240,7 @@
 	case r := <-ch:
 		return r.v, r.err
 	case <-time.After(timeout):
-		return zero, errNoResponse
+		return zero, ErrNoResponse
 	case <-ctx.Done():
 		return zero, ctx.Err()
 	}
--- a/internal/simulation/store_conn.go
+++ b/internal/simulation/store_conn.go
@@ -41,7 +41,7 @@
 		return result{revision: revision}, err
 	})
 	if r.delayed {
-		return 0, errNoResponse
+		return 0, ErrNoResponse
 	}
 	return r.revision, err
 }
--- a/internal/simulation/store_faults.go
+++ b/internal/simulation/store_faults.go
@@ -41,7 +41,7 @@
 }
 
 // CommitInterceptor handles a transaction of a member in place of the store. execute has the store
-// handle it; any error other than those of the package kvstore stands for a response that is lost.
+// handle it; ErrNoResponse stands for a response that is lost, whether it was executed or not.
 type CommitInterceptor func(member string, txn *wire.Txn, execute func() (uint64, error)) (uint64, error)
 
 // InterceptCommits makes an interceptor handle all transactions from now on, for tests that
--- a/internal/simulation/worker_conn.go
+++ b/internal/simulation/worker_conn.go
@@ -42,7 +42,7 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.ctx.Err() != nil {
-			return nil, errNoResponse
+			return nil, ErrNoResponse
 		}
 		f(w)
 		return w.heartbeat(), nil
--- a/internal/simulation/worker_heartbeat.go
+++ b/internal/simulation/worker_heartbeat.go
@@ -69,7 +69,7 @@
 	return send(w.ctx, w.options.Network, string(w.instance.ID), member, requestTimeout, func() (heartbeatResult, error) {
 		post := w.options.PostHeartbeat(member)
 		if post == nil {
-			return heartbeatResult{}, errNoResponse
+			return heartbeatResult{}, ErrNoResponse
 		}
 		response, redirectTo, ok := post(w.ctx, heartbeat)
 		return heartbeatResult{response, redirectTo, ok}, nil
--- a/internal/statecache/catch_up_test.go
+++ b/internal/statecache/catch_up_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -13,9 +12,6 @@
 	"lynxledge/wire"
 )
 
-// errResponseLost stands for the response to a transaction that was executed.
-var errResponseLost = errors.New("response lost")
-
 // loseResponses returns an interceptor that loses the responses to the next n transactions, and
 // makes the store unreadable for their member with the first of them.
 func loseResponses(store *simulation.Store, n int32) simulation.CommitInterceptor {
@@ -26,7 +22,7 @@
 			return revision, err
 		}
 		store.SetUnreadableFor(member, true)
-		return 0, errResponseLost
+		return 0, simulation.ErrNoResponse
 	}
 }
 
