scheduler: log which jobs have tasks held back after failures

No log line told whether the backoff, the rule of one task at a time or the choice of a node kept them: 'service short of replicas' is logged only once a node is looked for.

Change: where the rule ends the placement of a job, a line says so, at most once each lease: failures, on how many machines, and how many tasks are bound and pending. Behaviour is as before.

--- a/internal/scheduler/backoff.go
+++ b/internal/scheduler/backoff.go
@@ -30,6 +30,7 @@
 	count    int                     // number of failures, not counting refusals
 	until    time.Time               // the job is not placed before this time
 	machines map[wire.MachineID]bool // on which it failed or was refused
+	reportAt time.Time               // when the next log line is due if tasks are held back
 }
 
 func newBackoff(workers config.WorkerTimings) *backoff {
@@ -96,6 +97,22 @@
 	return f != nil && f.count >= probeAfter
 }
 
+// reportHeldBack logs, at most once per lease duration, that a job's pending tasks are held back
+// after failures.
+func (b *backoff) reportHeldBack(job wire.JobID, bound, pending int, now time.Time) {
+	f := b.failures[job]
+	if now.Before(f.reportAt) {
+		return
+	}
+	f.reportAt = now.Add(b.workers.LeaseDuration)
+	slog.Info("tasks held back after failures",
+		"job", job,
+		"failures", f.count,
+		"machines", len(f.machines),
+		"bound", bound,
+		"pending", pending)
+}
+
 // hasFailed reports whether a job has failed or was refused since its last success.
 func (b *backoff) hasFailed(job wire.JobID) bool { return b.failures[job] != nil }
 
--- a/internal/scheduler/job_placement.go
+++ b/internal/scheduler/job_placement.go
@@ -52,8 +52,8 @@
 	p.searchesVictims = c.rng.Float64() < c.victims.searchShares[spec.Priority]
 	p.drawSample()
 	for task := c.jobs.firstIncomplete[p.id]; task < p.job.TaskCount && c.placed[p.id] < p.maxTasks; task++ {
-		if c.backoff.probes(p.id) && len(c.view.Bindings[p.id])+c.placed[p.id] > 0 {
-			return // at most one bound task until one succeeds
+		if p.isHeldBack() {
+			return
 		}
 		if p.isCompletedOrBound(task) {
 			continue
@@ -64,6 +64,17 @@
 	}
 }
 
+// isHeldBack reports whether no more tasks of the job may be placed for now because its earlier ones
+// failed: at most one is bound at a time until one succeeds.
+func (p *jobPlacement) isHeldBack() bool {
+	bound := len(p.view.Bindings[p.id]) + p.placed[p.id]
+	if !p.backoff.probes(p.id) || bound == 0 {
+		return false
+	}
+	p.backoff.reportHeldBack(p.id, bound, p.view.PendingTasks(p.id, p.job)-p.placed[p.id], p.now)
+	return true
+}
+
 // mayPreemptNow reports whether other tasks may be preempted for the job. Capacity is freed all the
 // time, so a job may preempt only when its latest start for its deadline is near, or after about
 // half of its start objective. Production jobs need not wait. A job whose priority is inherited
