scheduler: a job's tasks are no longer held back for a success that never comes

The same befell the long tasks of an array until one of them completed, minutes later.

Cause: after three failures since its last success a job gets no further task while any of its tasks is bound, since the job itself may be at fault. Only a completed task counted as a success. A replica never completes, and the replicas that run elsewhere are bound, so the rule held for the rest of the service's life: three failures on one machine sufficed, or three far apart.

Fix: a task also succeeds by outliving the failed ones (internal/jobhealth): bound, on a machine that can be reached, for twice as long as any failed task ran and for as long as a machine may be silent, besides twice the fetch of its image. A task that did so shows that the job is not at fault, and the rule is lifted; the backoff and the machines on which it failed stay. If it was bound after the last failure, all the failures are over, as after a completed task. A job that was submitted with a mistake has no such task, however late its tasks fail, so that they are still tried one at a time. While only one machine has failed a job's tasks the trial is at most 0.75 leases, so that with the longest backoff, a lease, its other tasks don't wait for 90 s: mostly the machine is faulty.

A rebound task is told from its earlier attempt on the same node, so that it doesn't inherit its age.

Failures were not simulated before; now machines and jobs can be at fault.

--- /dev/null
+++ b/cmd/lynxledge/task_failures_test.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"lynxledge/wire"
+)
+
+// submitServices submits services of six replicas each, spread over the zones.
+func (c *cluster) submitServices(n int) (ids []wire.JobID) {
+	for range n {
+		id := c.nextJobID()
+		c.submitArray(id, "blue", 6, 0, func(j *wire.Job) {
+			j.Kind, j.Priority, j.SpreadZones, j.AllowSpot = wire.KindService, wire.PriorityProduction, true, false
+		})
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// awaitReturnOf waits until a machine is gone.
+func (c *cluster) awaitReturnOf(t *testing.T, machine wire.MachineID) {
+	t.Helper()
+	for range 120 {
+		if !slices.Contains(c.cloud.RunningMachines(), machine) {
+			return
+		}
+		c.advance(time.Second)
+	}
+	t.Errorf("%s is not returned", machine)
+}
+
+// firstMachineIn waits for the first machine in a zone, and returns it.
+func (c *cluster) firstMachineIn(t *testing.T, zone wire.Zone) wire.MachineID {
+	t.Helper()
+	for range 120 {
+		for _, instance := range c.cloud.Running() {
+			if instance.Zone == zone {
+				return instance.ID
+			}
+		}
+		c.advance(time.Second)
+	}
+	t.Errorf("no machine in zone %s", zone)
+	return ""
+}
+
+// Replicas and long tasks that failed on a faulty machine run again on sound ones once it is
+// returned, also if controllers crashed meanwhile. Guards against tasks that are never started again
+// after failures, beside an empty machine.
+func TestTasksOfFaultyMachineRunAgain(t *testing.T) {
+	for _, crash := range []struct {
+		name  string
+		crash func(c *cluster)
+	}{
+		{"no crash", func(*cluster) {}},
+		{"scheduler crashes", func(c *cluster) { c.fastRestart(c.scheduler()) }},
+		{"leader crashes", func(c *cluster) { c.fastRestart(c.leader()) }},
+		{"all controllers crash", func(c *cluster) { c.crashAll(); c.advance(4 * time.Second); c.restartAll() }},
+	} {
+		t.Run(crash.name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				withCluster(t, seed, smallCluster, nil, func(t *testing.T, c *cluster) {
+					c.advance(5 * time.Second)
+					c.cloud.MakeBootsFaulty("b", 1)
+					c.submitServices(3)
+					for range 2 {
+						c.submitArray(c.nextJobID(), "blue", 4, 20*time.Minute, func(j *wire.Job) { j.Zone, j.AllowSpot = "b", false })
+					}
+					faulty := c.firstMachineIn(t, "b")
+					c.awaitReturnOf(t, faulty)
+					crash.crash(c)
+					c.invariants.FaultsOver()
+					c.advance(3 * time.Minute)
+					for _, job := range c.submitted {
+						if running := c.invariants.RunningTasks(job.ID); running != job.TaskCount {
+							t.Errorf("seed %d: %d of %d tasks of %s run", seed, running, job.TaskCount, job.ID)
+						}
+					}
+					if violations := append(c.invariants.Violations(), c.store.Violations()...); len(violations) > 0 {
+						t.Errorf("seed %d: %v", seed, violations)
+					}
+				})
+			}
+		})
+	}
+}
+
+// Jobs whose tasks fail on every machine are tried one task at a time. Guards against a job with a
+// mistake that takes machine after machine, many tasks at a time, until it is cancelled.
+func TestMistakenJobsAreTriedOneTaskAtATime(t *testing.T) {
+	for seed := range uint64(3) {
+		withCluster(t, seed, smallCluster, nil, func(t *testing.T, c *cluster) {
+			c.advance(5 * time.Second)
+			services := c.submitServices(2)
+			c.advance(90 * time.Second)
+			var mistaken []wire.JobID
+			for range 4 {
+				id := c.nextJobID()
+				c.submitArray(id, "blue", 40, 2*time.Second, nil)
+				c.invariants.SetMistake(id)
+				mistaken = append(mistaken, id)
+			}
+			c.advance(2 * time.Minute)
+			most := 0
+			for range 300 {
+				c.advance(time.Second)
+				most = max(most, c.invariants.RunningTasks(mistaken...))
+			}
+			if most > len(mistaken) {
+				t.Errorf("seed %d: %d tasks of %d jobs with a mistake ran at once", seed, most, len(mistaken))
+			}
+			if running := c.invariants.RunningTasks(services...); running != 12 {
+				t.Errorf("seed %d: %d replicas run", seed, running)
+			}
+			for _, id := range mistaken {
+				c.cancelJob(id, c.members...)
+			}
+			c.healAndFinish()
+			for _, violation := range c.violations() {
+				t.Errorf("seed %d: %s", seed, violation)
+			}
+		})
+	}
+}
--- a/internal/placement/node.go
+++ b/internal/placement/node.go
@@ -11,6 +11,7 @@
 type RunningTask struct {
 	Job                  *wire.Job // nil if its job is unknown
 	TaskIndex            int
+	Attempt              uint64
 	Stopping             bool          // a stop has been decided
 	WithinGuarantee      bool          // its job and the team's earlier ones fit the team's guarantee
 	JobHasNoPendingTasks bool          // stopping this task delays its job
@@ -63,6 +64,16 @@
 	Ordinal int
 }
 
+// FindTask returns a task on the node, or nil.
+func (n *Node) FindTask(job wire.JobID, index int) *RunningTask {
+	for i := range n.Tasks {
+		if task := &n.Tasks[i]; task.TaskIndex == index && task.Job != nil && task.Job.ID == job {
+			return task
+		}
+	}
+	return nil
+}
+
 // HasCapacity reports whether tasks may be bound to the node and it has CPUs and memory left.
 func (n *Node) HasCapacity() bool {
 	return n.Schedulable && n.hasFreeCapacity()
--- a/internal/scheduler/backoff.go
+++ b/internal/scheduler/backoff.go
@@ -7,15 +7,12 @@
 	"time"
 
 	"lynxledge/internal/config"
+	"lynxledge/internal/jobhealth"
 	"lynxledge/internal/placement"
 	"lynxledge/internal/statecache"
 	"lynxledge/wire"
 )
 
-// probeAfter is the number of failures since the last success after which a job's tasks are tried
-// one at a time, since the job itself may be faulty.
-const probeAfter = 3
-
 // backoff delays jobs whose tasks failed or were preempted right after placement, and avoids
 // machines that refused tasks or didn't respond to commands.
 type backoff struct {
@@ -27,10 +24,17 @@
 
 // jobFailures records a job's failures and refusals since its last success.
 type jobFailures struct {
-	count    int                     // number of failures, not counting refusals
-	until    time.Time               // the job is not placed before this time
-	machines map[wire.MachineID]bool // on which it failed or was refused
-	reportAt time.Time               // when the next log line is due if tasks are held back
+	jobhealth.Failures
+	refusedBy map[wire.MachineID]bool // machines that refused its tasks
+	until     time.Time               // the job is not placed before this time
+	outlived  bool                    // a bound task has outlived the failed ones
+	judgeAt   time.Time               // when its bound tasks are judged next
+	reportAt  time.Time               // when the next log line is due if tasks are held back
+}
+
+// avoids reports whether the job's tasks failed on a machine or were refused by it.
+func (f *jobFailures) avoids(machine wire.MachineID) bool {
+	return f.OnMachine(machine) || f.refusedBy[machine]
 }
 
 func newBackoff(workers config.WorkerTimings) *backoff {
@@ -50,7 +54,7 @@
 		case wire.ReasonCompleted:
 			delete(b.failures, t.Job)
 		case wire.ReasonError, wire.ReasonUnknown, wire.ReasonInsufficientCapacity, wire.ReasonAttemptConflict:
-			b.recordFailure(t.Job, t.Machine, t.Reason, now)
+			b.recordFailure(t, now)
 		}
 	}
 }
@@ -59,21 +63,23 @@
 // conflict) the machine is avoided for one heartbeat interval. After any other failure the job is
 // delayed, twice as long each time up to the lease duration, so that no job waits much longer than
 // that while there is free capacity.
-func (b *backoff) recordFailure(job wire.JobID, machine wire.MachineID, reason wire.ExitReason, now time.Time) {
-	f := b.failures[job]
+func (b *backoff) recordFailure(t *statecache.Termination, now time.Time) {
+	f := b.failures[t.Job]
 	if f == nil {
-		f = &jobFailures{machines: map[wire.MachineID]bool{}}
-		b.failures[job] = f
+		f = &jobFailures{refusedBy: map[wire.MachineID]bool{}}
+		b.failures[t.Job] = f
 	}
-	f.machines[machine] = true
-	if reason == wire.ReasonInsufficientCapacity || reason == wire.ReasonAttemptConflict {
-		b.avoidMachine(machine, now)
+	if t.Reason == wire.ReasonInsufficientCapacity || t.Reason == wire.ReasonAttemptConflict {
+		f.AddRefusal(now)
+		f.refusedBy[t.Machine] = true
+		b.avoidMachine(t.Machine, now)
 		return
 	}
-	f.count++
-	wait := min(b.workers.Heartbeats(math.Pow(2, float64(min(f.count, 6)-2))), b.workers.LeaseDuration)
+	f.Add(t, now)
+	wait := min(b.workers.Heartbeats(math.Pow(2, float64(min(f.Count(), 6)-2))), b.workers.LeaseDuration)
 	f.until = now.Add(wait)
-	slog.Info("task failed", "job", job, "machine", machine, "reason", reason, "failures", f.count, "backoff_seconds", wait.Seconds())
+	f.judgeAt = f.until
+	slog.Info("task failed", "job", t.Job, "machine", t.Machine, "reason", t.Reason, "failures", f.Count(), "backoff_seconds", wait.Seconds())
 }
 
 // recordEarlyPreemption delays an array by one heartbeat interval, because one of its tasks was
@@ -91,10 +97,11 @@
 	return now.Before(b.preemptedUntil[job])
 }
 
-// probes reports whether a job's tasks are to be tried one at a time.
+// probes reports whether a job's tasks are to be tried one at a time, since the job itself may be
+// faulty.
 func (b *backoff) probes(job wire.JobID) bool {
 	f := b.failures[job]
-	return f != nil && f.count >= probeAfter
+	return f != nil && f.Suspected() && !f.outlived
 }
 
 // reportHeldBack logs, at most once per lease duration, that a job's pending tasks are held back
@@ -107,8 +114,8 @@
 	f.reportAt = now.Add(b.workers.LeaseDuration)
 	slog.Info("tasks held back after failures",
 		"job", job,
-		"failures", f.count,
-		"machines", len(f.machines),
+		"failures", f.Count(),
+		"machines", f.Machines(),
 		"bound", bound,
 		"pending", pending)
 }
@@ -123,7 +130,7 @@
 	if f == nil {
 		return nodes
 	}
-	others := slices.DeleteFunc(slices.Clone(nodes), func(n *placement.Node) bool { return f.machines[n.Name] })
+	others := slices.DeleteFunc(slices.Clone(nodes), func(n *placement.Node) bool { return f.avoids(n.Name) })
 	if len(others) == 0 {
 		return nodes
 	}
--- a/internal/scheduler/backoff_test.go
+++ b/internal/scheduler/backoff_test.go
@@ -17,7 +17,7 @@
 		inActor(s, func() {
 			now := time.Now()
 			for range 20 {
-				s.backoff.recordFailure("req-000001", "i-a000", wire.ReasonError, now)
+				s.backoff.recordFailure(&statecache.Termination{Job: "req-000001", Machine: "i-a000", Reason: wire.ReasonError}, now)
 			}
 			if wait := s.backoff.failures["req-000001"].until.Sub(now); wait != 44*time.Second {
 				t.Errorf("delay of %v after 20 failures, want the lease duration", wait)
@@ -39,7 +39,7 @@
 	if !b.avoids("i-1", now) || b.avoids("i-1", now.Add(8*time.Second)) || b.delays("req-000001", now) {
 		t.Error("after a refusal the machine is not avoided for just one heartbeat interval, or the job is delayed")
 	}
-	for i := range probeAfter {
+	for i := range 3 {
 		if b.probes("req-000001") {
 			t.Errorf("probed after %d failures", i)
 		}
@@ -66,7 +66,7 @@
 func TestFailedNodeIsUsedWhenZonesLeaveNoOther(t *testing.T) {
 	f := newMoveFixture()
 	f.bindTo("i-b2", "b", "")
-	f.backoff.recordFailure(blockedService, "i-b2", wire.ReasonInsufficientCapacity, f.now)
+	f.backoff.recordFailure(&statecache.Termination{Job: blockedService, Machine: "i-b2", Reason: wire.ReasonInsufficientCapacity}, f.now)
 	f.now = f.now.Add(f.config.Params.Workers.Heartbeats(1) + time.Second) // no machine is avoided any more
 	c := f.plan()
 	if c.placed[blockedService] != 1 || len(c.commands.stops) > 0 {
--- a/internal/scheduler/cycle.go
+++ b/internal/scheduler/cycle.go
@@ -59,6 +59,7 @@
 	hasAssignments := len(assignments) > 0
 	c := s.newCycle(now, limit, s.nodes.usage)
 	s.moves.renewClaims(s.view, s.nodes, now)
+	s.judgeFailedJobs(now)
 	c.openOversizedGroups()
 	c.finishCompletedJobs(hasAssignments)
 	if hasAssignments {
--- a/internal/scheduler/node_index.go
+++ b/internal/scheduler/node_index.go
@@ -194,7 +194,7 @@
 	n.Used, n.Tasks = resources.Vector{}, make([]placement.RunningTask, 0, len(rec.Bindings))
 	for i := range rec.Bindings {
 		binding := &rec.Bindings[i]
-		task := placement.RunningTask{TaskIndex: binding.TaskIndex, Stopping: binding.StopToken > 0, BoundSince: time.Now()}
+		task := placement.RunningTask{TaskIndex: binding.TaskIndex, Attempt: binding.Attempt, Stopping: binding.StopToken > 0, BoundSince: time.Now()}
 		if job := x.view.Jobs[binding.Job]; job != nil && job.Spec != nil {
 			task.Job = job.Spec
 			// A task that is stopped without a grace period counts as free capacity: it has
@@ -204,7 +204,7 @@
 			}
 		}
 		for _, before := range old {
-			if before.TaskIndex == binding.TaskIndex && before.Job != nil && before.Job.ID == binding.Job {
+			if before.TaskIndex == binding.TaskIndex && before.Attempt == binding.Attempt && before.Job != nil && before.Job.ID == binding.Job {
 				task.BoundSince = before.BoundSince
 			}
 		}
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -78,10 +78,19 @@
 // fetchTime returns how long a node takes to fetch a job's image; 0 if it has the image or its fetch
 // rate is unknown.
 func fetchTime(job *wire.Job, n *placement.Node) time.Duration {
-	if n.HasImage(job.Image) || n.MachineType.ImageFetchGBps <= 0 {
+	if n.HasImage(job.Image) {
 		return 0
 	}
-	return config.Seconds(job.ImageGB / n.MachineType.ImageFetchGBps)
+	return imageFetchTime(job, n.MachineType)
+}
+
+// imageFetchTime returns how long a machine of a type takes to fetch a job's image; 0 if its fetch
+// rate is unknown.
+func imageFetchTime(job *wire.Job, machineType *wire.MachineType) time.Duration {
+	if machineType.ImageFetchGBps <= 0 {
+		return 0
+	}
+	return config.Seconds(job.ImageGB / machineType.ImageFetchGBps)
 }
 
 // stopBytes is the estimated size that stopping a task adds to a record.
--- a/internal/scheduler/replica_moves_test.go
+++ b/internal/scheduler/replica_moves_test.go
@@ -30,13 +30,9 @@
 // blocking service, and team red the blocked one; without quotas, team red owns both.
 func newMoveFixture(teams ...config.TeamQuota) *moveFixture {
 	teams = append(teams, config.TeamQuota{Name: "red"}) // of equal names the first quota counts
-	cfg := testConfig(20, teams...)
-	f := &moveFixture{Scheduler: newScheduler(Options{Config: cfg, Incarnation: 1}), now: time.Now()}
-	f.cycleScheduled = true // cycles are planned by the test
-	f.nodes.setMachineTypes([]wire.MachineType{{Name: "s", CPUs: 4, MemoryGB: 32, Zones: []wire.Zone{"a", "b", "c"}}})
+	f := newEmptyFixture(teams...)
 	f.submitFor(teams[0].Name, blockingService, wire.KindService, 4)
 	f.submit(blockedService, wire.KindService, 2)
-	f.put(&statecache.Assignment{Member: "n0", Incarnation: 1}, statecache.KindAssignment, "red")
 	f.bind("a", blockedService, 0)
 	f.bind("b", blockingService, 0, 1)
 	f.bind("c", blockingService, 2, 3)
@@ -44,6 +40,15 @@
 	return f
 }
 
+// newEmptyFixture returns a fixture without machines and jobs.
+func newEmptyFixture(teams ...config.TeamQuota) *moveFixture {
+	f := &moveFixture{Scheduler: newScheduler(Options{Config: testConfig(20, teams...), Incarnation: 1}), now: time.Now()}
+	f.cycleScheduled = true // cycles are planned by the test
+	f.nodes.setMachineTypes([]wire.MachineType{{Name: "s", CPUs: 4, MemoryGB: 32, Zones: []wire.Zone{"a", "b", "c"}}})
+	f.put(&statecache.Assignment{Member: "n0", Incarnation: 1}, statecache.KindAssignment, "red")
+	return f
+}
+
 // put applies a record as a change in the store.
 func (f *moveFixture) put(record statecache.Record, kind statecache.Kind, name string) {
 	f.revision++
--- a/internal/simulation/cloud.go
+++ b/internal/simulation/cloud.go
@@ -26,6 +26,7 @@
 	nextID       int
 	failedZones  map[wire.Zone]bool // zones without capacity
 	stalledBoots int                // how many of the next machines never finish booting
+	faultyBoots  map[wire.Zone]int  // how many of the next machines to come up in a zone are faulty
 	history      []snapshot         // what list may return, oldest first
 	boot         func(instance wire.Instance) *Worker
 	maxBootTime  time.Duration                       // the longest time that a machine takes to boot
@@ -54,7 +55,8 @@
 func NewCloud(seed uint64, types []wire.MachineType, poolSize int, listLag time.Duration, boot func(instance wire.Instance) *Worker) *Cloud {
 	return &Cloud{
 		rng: rand.New(rand.NewPCG(seed, 8)), types: types, poolSize: poolSize, listLag: listLag,
-		provisioned: map[string][]wire.MachineID{}, machines: map[wire.MachineID]*machine{}, failedZones: map[wire.Zone]bool{}, boot: boot,
+		provisioned: map[string][]wire.MachineID{}, machines: map[wire.MachineID]*machine{}, failedZones: map[wire.Zone]bool{},
+		faultyBoots: map[wire.Zone]int{}, boot: boot,
 		maxBootTime: 20 * time.Second, address: func(machine wire.MachineID) string { return string(machine) + port },
 	}
 }
@@ -120,6 +122,10 @@
 		if c.machines[id] == m && m.State == wire.InstanceStarting {
 			m.State = wire.InstanceRunning
 			m.worker = c.boot(m.Instance)
+			if c.faultyBoots[m.Zone] > 0 {
+				c.faultyBoots[m.Zone]--
+				m.worker.SetFaulty()
+			}
 		}
 	}()
 	return id
--- a/internal/simulation/cloud_faults.go
+++ b/internal/simulation/cloud_faults.go
@@ -13,6 +13,13 @@
 	c.stalledBoots = n
 }
 
+// MakeBootsFaulty makes every task fail on the next n machines that come up in a zone.
+func (c *Cloud) MakeBootsFaulty(zone wire.Zone, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faultyBoots[zone] = n
+}
+
 // FailMachine stops the i-th running machine, modulo their number, with its tasks, and returns its
 // ID, empty if none runs. If it is reclaimed, the cloud no longer lists it.
 func (c *Cloud) FailMachine(i int, reclaimed bool) wire.MachineID {
--- a/internal/simulation/invariants.go
+++ b/internal/simulation/invariants.go
@@ -32,6 +32,7 @@
 type jobRecord struct {
 	job                         *wire.Job
 	runtime                     time.Duration     // of each task
+	hasMistake                  bool              // every task fails after runtime
 	completed                   map[int]bool      // by task index
 	runningByZone               map[wire.Zone]int // how many of its tasks are on machines
 	accepted                    bool              // a user was told that it was accepted
@@ -80,6 +81,13 @@
 	}
 }
 
+// SetMistake makes every task of a registered job fail after its runtime, on any machine.
+func (c *InvariantChecker) SetMistake(id wire.JobID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs[id].hasMistake = true
+}
+
 // Accepted reports whether a user was told that a job was accepted.
 func (c *InvariantChecker) Accepted(id wire.JobID) bool {
 	c.mu.Lock()
@@ -115,20 +123,27 @@
 	}
 }
 
-// Runtime returns the runtime of a task, or that it runs forever, for a worker that is commanded to
-// launch it. It counts the launch if the job is cancelled.
-func (c *InvariantChecker) Runtime(task wire.TaskID) (runtime time.Duration, forever bool, err error) {
+// TaskRun is how a task runs once it has started.
+type TaskRun struct {
+	Duration time.Duration // until it completes or fails
+	Forever  bool          // it runs until it is stopped, whatever Duration says
+	Fails    bool          // it fails after Duration
+}
+
+// Run returns how a task runs, for a worker that is commanded to launch it. It counts the launch if
+// the job is cancelled.
+func (c *InvariantChecker) Run(task wire.TaskID) (TaskRun, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	id, _, ok := wire.ParseTaskID(task)
 	record := c.jobs[id]
 	if !ok || record == nil {
-		return 0, false, errors.New("unknown")
+		return TaskRun{}, errors.New("unknown")
 	}
 	if !record.cancelledAt.IsZero() {
 		c.startsAfterCancellation++
 	}
-	return record.runtime, record.job.IsService(), nil
+	return TaskRun{Duration: record.runtime, Forever: record.job.IsService() && !record.hasMistake, Fails: record.hasMistake}, nil
 }
 
 // TaskEnded records that a task is no longer on a machine.
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -34,6 +34,7 @@
 	memberIndex      int           // of the member that gets the next heartbeat
 	preemptionNotice *wire.Seconds
 	resumed          chan struct{} // closed when the paused machine resumes; nil unless paused
+	faulty           bool          // every task fails
 }
 
 // NewWorker returns a running Worker of an instance, which stops when ctx ends. Its first heartbeat
--- a/internal/simulation/worker_faults.go
+++ b/internal/simulation/worker_faults.go
@@ -6,6 +6,16 @@
 	"lynxledge/wire"
 )
 
+// faultyRunTime is how long a task runs on a faulty machine until it fails.
+const faultyRunTime = 500 * time.Millisecond
+
+// SetFaulty makes every task fail that starts on the machine from now on.
+func (w *Worker) SetFaulty() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faulty = true
+}
+
 // Kill stops the machine and its tasks for good.
 func (w *Worker) Kill() {
 	w.mu.Lock()
--- a/internal/simulation/worker_tasks.go
+++ b/internal/simulation/worker_tasks.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"lynxledge/wire"
 )
@@ -71,19 +70,22 @@
 	t.stop = stop
 	w.tasks = append(w.tasks, t)
 	w.notifyChange()
-	runtime, forever, err := w.options.Checker.Runtime(command.Task)
+	run, err := w.options.Checker.Run(command.Task)
 	if err != nil {
 		w.exit(t, wire.ReasonUnknown)
 		return
 	}
+	if w.faulty {
+		run = TaskRun{Duration: faultyRunTime, Fails: true}
+	}
 	go func() {
 		defer stop()
-		w.run(ctx, t, runtime, forever)
+		w.run(ctx, t, run)
 	}()
 }
 
-// run fetches a task's image and runs the task until it completes or its context ends.
-func (w *Worker) run(ctx context.Context, t *task, runtime time.Duration, forever bool) {
+// run fetches a task's image and runs the task until it completes, fails or its context ends.
+func (w *Worker) run(ctx context.Context, t *task, run TaskRun) {
 	if !sleep(ctx, w.options.ImageFetchTime) {
 		return
 	}
@@ -95,13 +97,17 @@
 		w.notifyChange()
 	}
 	w.mu.Unlock()
-	if forever || !sleep(ctx, runtime) {
+	if run.Forever || !sleep(ctx, run.Duration) {
 		return
 	}
 	w.waitUntilResumed()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if ctx.Err() == nil {
+	switch {
+	case ctx.Err() != nil:
+	case run.Fails:
+		w.exit(t, wire.ReasonError)
+	default:
 		w.options.Checker.TaskCompleted(t.Task)
 		w.exit(t, wire.ReasonCompleted)
 	}
