scheduler: no replica is moved whose service is held back after failures

A replica may be stopped for a move if its service could bind it again at once. A service with three failures whose other replicas are bound is held back, and was not asked for that: its replica was stopped, and not bound again.

Change: canRebindReplica asks for it. Failures of jobs that have ended are dropped: one that was reported after the end stayed in memory.

--- a/internal/scheduler/job_trials.go
+++ b/internal/scheduler/job_trials.go
@@ -12,10 +12,14 @@
 const judgeIntervalHeartbeats = 0.5
 
 // judgeFailedJobs judges the jobs with failures by their bound tasks. It ends the failures of those
-// that have recovered.
+// that have recovered or ended.
 func (s *schedulingState) judgeFailedJobs(now time.Time) {
 	limits := jobhealth.TrialLimitsOf(s.config)
 	for id, f := range s.backoff.failures {
+		if s.jobs.active[id] == nil {
+			delete(s.backoff.failures, id)
+			continue
+		}
 		if now.Before(f.judgeAt) {
 			continue
 		}
--- a/internal/scheduler/replica_moves.go
+++ b/internal/scheduler/replica_moves.go
@@ -157,9 +157,11 @@
 }
 
 // canRebindReplica reports whether a stopped replica of a service could be bound again immediately:
-// none is on the move already, the service is not in backoff, and its team is within its limit.
+// none is on the move already, the service is neither in backoff nor held back after failures, and its
+// team is within its limit.
 func (c *cycle) canRebindReplica(service *statecache.Job) bool {
-	return !c.moves.isMoving(service.Spec.ID) && !c.backoff.delays(service.Spec.ID, c.now) &&
+	id := service.Spec.ID
+	return !c.moves.isMoving(id) && !c.backoff.delays(id, c.now) && !c.backoff.probes(id) &&
 		c.usage.WithinLimit(c.teamQuota(service.Spec.Team), resources.Vector{})
 }
 
--- a/internal/scheduler/replica_moves_test.go
+++ b/internal/scheduler/replica_moves_test.go
@@ -223,6 +223,25 @@
 	}
 }
 
+// No replica of a service is moved whose tasks are held back after failures. Guards against replicas
+// that are stopped and then not bound again.
+func TestReplicaOfServiceThatIsHeldBackIsNotMoved(t *testing.T) {
+	f := newMoveFixture()
+	for range 3 {
+		f.backoff.recordFailure(&statecache.Termination{Job: blockingService, Machine: "i-b", Reason: wire.ReasonError}, f.now)
+	}
+	workers := f.config.Params.Workers
+	f.now = f.now.Add(workers.Heartbeats(2) + time.Second) // after the backoff
+	if c := f.plan(); len(c.commands.stops) > 0 {
+		t.Errorf("stopped %v", c.commands.stops)
+	}
+	f.now = f.now.Add(workers.Heartbeats(2)) // the replicas have outlived the failures
+	f.move(t)
+	if c := f.plan(); c.placed[blockingService] != 1 {
+		t.Errorf("placed %v", c.placed)
+	}
+}
+
 // Once a replica of a service is stopped in a cycle, no other one is moved in the same cycle. Guards
 // against stopping all replicas of a small service at once.
 func TestSecondReplicaIsNotMovedInACycle(t *testing.T) {
