autoscaler: jobs that fail on every machine no longer have sound ones taken for faulty

A machine on which tasks of three jobs failed is drained as faulty, unless a task completed on it in between. Three jobs that were submitted with a mistake, each tried on a machine on which it has not failed yet, thus have machine after machine drained and another one rented, and the work on it is moved.

Change: a job that has failed on three machines since its last success says nothing about a machine; a task placed on a machine after its last failure that outlived the failed ones ends its failures (internal/jobhealth, as for jobs). Two machines may still be drained for such jobs: two faulty ones in a row may well occur, and would go undetected otherwise. The fetch time of an image is computed in one place.

--- a/cmd/lynxledge/task_failures_test.go
+++ b/cmd/lynxledge/task_failures_test.go
@@ -88,8 +88,9 @@
 	}
 }
 
-// Jobs whose tasks fail on every machine are tried one task at a time. Guards against a job with a
-// mistake that takes machine after machine, many tasks at a time, until it is cancelled.
+// Jobs whose tasks fail on every machine are tried one task at a time, and sound machines are not
+// taken for faulty and replaced. Guards against jobs with a mistake that take machine after machine,
+// many tasks at a time, until they are cancelled.
 func TestMistakenJobsAreTriedOneTaskAtATime(t *testing.T) {
 	for seed := range uint64(3) {
 		withCluster(t, seed, smallCluster, nil, func(t *testing.T, c *cluster) {
@@ -104,6 +105,7 @@
 				mistaken = append(mistaken, id)
 			}
 			c.advance(2 * time.Minute)
+			rented := c.cloud.ProvisionedMachines()
 			most := 0
 			for range 300 {
 				c.advance(time.Second)
@@ -112,6 +114,9 @@
 			if most > len(mistaken) {
 				t.Errorf("seed %d: %d tasks of %d jobs with a mistake ran at once", seed, most, len(mistaken))
 			}
+			if now := c.cloud.ProvisionedMachines(); now > rented {
+				t.Errorf("seed %d: %d machines were rented for jobs with a mistake after the first two minutes", seed, now-rented)
+			}
 			if running := c.invariants.RunningTasks(services...); running != 12 {
 				t.Errorf("seed %d: %d replicas run", seed, running)
 			}
--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -51,6 +51,7 @@
 	machineTypes machineCatalog
 	jobs         *jobTracker
 	risks        *deadlineRisks
+	failures     jobFailures
 	liveness     *livenessTracker
 	provisioning *provisioningTracker
 	updates      *updateQueue
@@ -94,6 +95,7 @@
 		machineTypes:    machineCatalog{defaultBootSeconds: cfg.Operator.BootLag.Seconds()},
 		jobs:            newJobTracker(),
 		risks:           newDeadlineRisks(),
+		failures:        jobFailures{},
 		liveness:        newLivenessTracker(),
 		provisioning:    newProvisioningTracker(),
 		updates:         newUpdateQueue(),
@@ -134,7 +136,7 @@
 		switch change.Kind {
 		case statecache.KindMachineGroup:
 			if group, _ := change.Record.(*statecache.MachineGroup); group != nil {
-				a.detectFaultyMachines(group.Terminations)
+				a.detectFaultyMachines(group.Terminations, now)
 				a.jobs.observeTerminations(group.Terminations, a.view.Jobs)
 			}
 		case statecache.KindJob:
@@ -148,6 +150,7 @@
 func (a *Autoscaler) applyJob(id wire.JobID, job *statecache.Job) {
 	if ended := a.jobs.update(id, job); ended {
 		a.risks.forget(id)
+		a.forgetFailures(id)
 	}
 }
 
--- a/internal/autoscaler/cycle.go
+++ b/internal/autoscaler/cycle.go
@@ -32,6 +32,7 @@
 	}
 	now := time.Now()
 	a.lastPlanned = now
+	a.judgeFailedJobs(now)
 	waits := a.jobs.dependencyWaits(a.view, now)
 	a.logDeadlineRisks(waits, now)
 	in := a.planningInput(now, waits)
--- a/internal/autoscaler/liveness.go
+++ b/internal/autoscaler/liveness.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lynxledge/internal/jobhealth"
 	"lynxledge/internal/statecache"
 	"lynxledge/wire"
 )
@@ -15,7 +16,8 @@
 	lastFailedProbe     time.Time           // when a probe last failed, or got a response that doesn't count
 	probing             bool                // a probe is in flight
 	outboundPartitioned bool                // it responds to probes, but its heartbeats reach no controller and its lease has expired
-	failedJobs          map[wire.JobID]bool // jobs with tasks that failed on it since a task last completed
+	failures            jobhealth.Failures  // of tasks on it since its last success: a task completed or outlived the failed ones
+	failedJobs          map[wire.JobID]bool // the jobs of these tasks
 }
 
 // applyRecord handles the machine's new record; old is nil if it is the first.
@@ -31,15 +33,22 @@
 }
 
 // observeTermination records how a task on the machine ended.
-func (l *machineLiveness) observeTermination(t *statecache.Termination) {
+func (l *machineLiveness) observeTermination(t *statecache.Termination, now time.Time) {
 	switch t.Reason {
 	case wire.ReasonCompleted:
-		clear(l.failedJobs)
+		l.forgetFailures()
 	case wire.ReasonError:
+		l.failures.Add(t, now)
 		l.failedJobs[t.Job] = true
 	}
 }
 
+// forgetFailures drops the failures on the machine, after a success.
+func (l *machineLiveness) forgetFailures() {
+	l.failures = jobhealth.Failures{}
+	clear(l.failedJobs)
+}
+
 // probeSucceeded records a response to a probe. incarnation is that of the machine's record when
 // the probe was sent. A machine that responds is not lost: perhaps only its heartbeats reach no
 // controller. But if its lease has expired meanwhile, which begins a new incarnation, it keeps
--- a/internal/jobhealth/failures.go
+++ b/internal/jobhealth/failures.go
@@ -20,6 +20,9 @@
 	// repeatedOnMachines is the number of machines on which a job has failed from which on the
 	// machines are less likely at fault than the job.
 	repeatedOnMachines = 2
+	// everywhereOnMachines is the number of machines on which a job has failed from which on a further
+	// failure says nothing about the machine. Two faulty machines in a row may well occur.
+	everywhereOnMachines = 3
 	// runMargin is how many times as long as any failed task another one must run to outlive it.
 	runMargin = 2.0
 	// fetchMargin is how many times the nominal fetch time an image may take.
@@ -51,6 +54,11 @@
 	longestRun time.Duration           // of a failed task, as far as known
 }
 
+// IsFailure reports whether a task that terminated for a reason failed.
+func IsFailure(reason wire.ExitReason) bool {
+	return reason == wire.ReasonError || reason == wire.ReasonUnknown
+}
+
 // Add adds the failure of a task.
 func (f *Failures) Add(t *statecache.Termination, now time.Time) {
 	if f.machines == nil {
@@ -80,6 +88,9 @@
 // Repeated reports whether tasks failed on several machines.
 func (f *Failures) Repeated() bool { return len(f.machines) >= repeatedOnMachines }
 
+// Everywhere reports whether tasks failed on so many machines that the job is at fault.
+func (f *Failures) Everywhere() bool { return len(f.machines) >= everywhereOnMachines }
+
 // BoundTask is a task that is bound to a machine which can be reached.
 type BoundTask struct {
 	Since     time.Time     // when it was bound, as far as known
--- a/internal/scheduler/job_trials.go
+++ b/internal/scheduler/job_trials.go
@@ -4,6 +4,7 @@
 	"iter"
 	"time"
 
+	"lynxledge/internal/estimate"
 	"lynxledge/internal/jobhealth"
 	"lynxledge/wire"
 )
@@ -44,7 +45,7 @@
 			if task == nil || task.Stopping {
 				continue
 			}
-			if !yield(jobhealth.BoundTask{Since: task.BoundSince, FetchTime: imageFetchTime(task.Job, node.MachineType)}) {
+			if !yield(jobhealth.BoundTask{Since: task.BoundSince, FetchTime: estimate.ImageFetchTime(task.Job, node.MachineType)}) {
 				return
 			}
 		}
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -4,7 +4,7 @@
 	"log/slog"
 	"time"
 
-	"lynxledge/internal/config"
+	"lynxledge/internal/estimate"
 	"lynxledge/internal/placement"
 	"lynxledge/internal/resources"
 	"lynxledge/wire"
@@ -81,16 +81,7 @@
 	if n.HasImage(job.Image) {
 		return 0
 	}
-	return imageFetchTime(job, n.MachineType)
-}
-
-// imageFetchTime returns how long a machine of a type takes to fetch a job's image; 0 if its fetch
-// rate is unknown.
-func imageFetchTime(job *wire.Job, machineType *wire.MachineType) time.Duration {
-	if machineType.ImageFetchGBps <= 0 {
-		return 0
-	}
-	return config.Seconds(job.ImageGB / machineType.ImageFetchGBps)
+	return estimate.ImageFetchTime(job, n.MachineType)
 }
 
 // stopBytes is the estimated size that stopping a task adds to a record.
--- a/internal/simulation/cloud.go
+++ b/internal/simulation/cloud.go
@@ -191,6 +191,13 @@
 	c.poolSizes = sizes
 }
 
+// ProvisionedMachines returns how many machines have been provisioned, including those that are gone.
+func (c *Cloud) ProvisionedMachines() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nextID
+}
+
 // Running returns the running instances, sorted by ID.
 func (c *Cloud) Running() []wire.Instance {
 	c.mu.Lock()
