autoscaler: no machines are kept for tasks that are held back

Of a job whose tasks fail on every machine one task is tried at a time, but machines were provisioned for all its pending tasks, and kept, empty, until its user cancelled it.

Change: the demand of a job that failed on several machines, without a task that has outlived the failed ones, is the one task that may be tried. A job that failed on a single machine keeps its whole demand: mostly that machine is faulty, and the other tasks are soon placed.

--- a/cmd/lynxledge/task_failures_test.go
+++ b/cmd/lynxledge/task_failures_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -88,45 +89,66 @@
 	}
 }
 
-// Jobs whose tasks fail on every machine are tried one task at a time, and sound machines are not
-// taken for faulty and replaced. Guards against jobs with a mistake that take machine after machine,
-// many tasks at a time, until they are cancelled.
+// Jobs whose tasks fail on every machine are tried one task at a time, sound machines are not taken
+// for faulty and replaced, and machines that were rented for the other tasks are returned. Guards
+// against jobs with a mistake that take machine after machine, many tasks at a time, until they are
+// cancelled.
 func TestMistakenJobsAreTriedOneTaskAtATime(t *testing.T) {
-	for seed := range uint64(3) {
-		withCluster(t, seed, smallCluster, nil, func(t *testing.T, c *cluster) {
-			c.advance(5 * time.Second)
-			services := c.submitServices(2)
-			c.advance(90 * time.Second)
-			var mistaken []wire.JobID
-			for range 4 {
-				id := c.nextJobID()
-				c.submitArray(id, "blue", 40, 2*time.Second, nil)
-				c.invariants.SetMistake(id)
-				mistaken = append(mistaken, id)
-			}
-			c.advance(2 * time.Minute)
-			rented := c.cloud.ProvisionedMachines()
-			most := 0
-			for range 300 {
-				c.advance(time.Second)
-				most = max(most, c.invariants.RunningTasks(mistaken...))
-			}
-			if most > len(mistaken) {
-				t.Errorf("seed %d: %d tasks of %d jobs with a mistake ran at once", seed, most, len(mistaken))
-			}
-			if now := c.cloud.ProvisionedMachines(); now > rented {
-				t.Errorf("seed %d: %d machines were rented for jobs with a mistake after the first two minutes", seed, now-rented)
-			}
-			if running := c.invariants.RunningTasks(services...); running != 12 {
-				t.Errorf("seed %d: %d replicas run", seed, running)
-			}
-			for _, id := range mistaken {
-				c.cancelJob(id, c.members...)
-			}
-			c.healAndFinish()
-			for _, violation := range c.violations() {
-				t.Errorf("seed %d: %s", seed, violation)
+	for _, estimate := range []wire.Seconds{2, 600} {
+		t.Run(fmt.Sprintf("estimated to run %v s", estimate), func(t *testing.T) {
+			for seed := range uint64(3) {
+				withCluster(t, seed, smallCluster, nil, func(t *testing.T, c *cluster) {
+					services, mistaken := c.startMistakenJobs(4, estimate)
+					before := len(services.machines)
+					c.advance(2 * time.Minute)
+					rented, mostTasks := c.cloud.ProvisionedMachines(), 0
+					for range 300 {
+						c.advance(time.Second)
+						mostTasks = max(mostTasks, c.invariants.RunningTasks(mistaken...))
+					}
+					if mostTasks > len(mistaken) {
+						t.Errorf("seed %d: %d tasks of %d jobs with a mistake ran at once", seed, mostTasks, len(mistaken))
+					}
+					if now := c.cloud.ProvisionedMachines(); now > rented {
+						t.Errorf("seed %d: %d machines were rented after the first two minutes", seed, now-rented)
+					}
+					if now := len(c.cloud.Running()); now > before+len(mistaken) {
+						t.Errorf("seed %d: %d machines run, %d before the jobs with a mistake", seed, now, before)
+					}
+					if running := c.invariants.RunningTasks(services.ids...); running != 12 {
+						t.Errorf("seed %d: %d replicas run", seed, running)
+					}
+					for _, id := range mistaken {
+						c.cancelJob(id, c.members...)
+					}
+					c.healAndFinish()
+					for _, violation := range c.violations() {
+						t.Errorf("seed %d: %s", seed, violation)
+					}
+				})
 			}
 		})
 	}
 }
+
+// runningServices are services and the machines that ran once all their replicas did.
+type runningServices struct {
+	ids      []wire.JobID
+	machines []wire.MachineID
+}
+
+// startMistakenJobs starts two services, and then submits arrays of 40 tasks that all fail, with the
+// given estimate of their runtime.
+func (c *cluster) startMistakenJobs(n int, estimate wire.Seconds) (services runningServices, mistaken []wire.JobID) {
+	c.advance(5 * time.Second)
+	services.ids = c.submitServices(2)
+	c.advance(90 * time.Second)
+	services.machines = c.cloud.RunningMachines()
+	for range n {
+		id := c.nextJobID()
+		c.submitArray(id, "blue", 40, 2*time.Second, func(j *wire.Job) { j.EstimatedRuntime = estimate })
+		c.invariants.SetMistake(id)
+		mistaken = append(mistaken, id)
+	}
+	return services, mistaken
+}
--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -51,7 +51,7 @@
 	machineTypes machineCatalog
 	jobs         *jobTracker
 	risks        *deadlineRisks
-	failures     jobFailures
+	failures     *jobFailures
 	liveness     *livenessTracker
 	provisioning *provisioningTracker
 	updates      *updateQueue
@@ -95,7 +95,7 @@
 		machineTypes:    machineCatalog{defaultBootSeconds: cfg.Operator.BootLag.Seconds()},
 		jobs:            newJobTracker(),
 		risks:           newDeadlineRisks(),
-		failures:        jobFailures{},
+		failures:        newJobFailures(),
 		liveness:        newLivenessTracker(),
 		provisioning:    newProvisioningTracker(),
 		updates:         newUpdateQueue(),
--- a/internal/autoscaler/faulty.go
+++ b/internal/autoscaler/faulty.go
@@ -66,5 +66,5 @@
 			delete(l.failedJobs, job)
 		}
 	}
-	delete(a.failures, job)
+	a.failures.forget(job)
 }
--- a/internal/autoscaler/job_failures.go
+++ b/internal/autoscaler/job_failures.go
@@ -11,34 +11,52 @@
 )
 
 // jobFailures holds the failures of active jobs since their last success.
-type jobFailures map[wire.JobID]*jobhealth.Failures
+type jobFailures struct {
+	byJob    map[wire.JobID]*jobhealth.Failures
+	heldBack map[wire.JobID]bool // jobs whose tasks the scheduler tries one at a time
+}
+
+func newJobFailures() *jobFailures {
+	return &jobFailures{byJob: map[wire.JobID]*jobhealth.Failures{}, heldBack: map[wire.JobID]bool{}}
+}
 
 // observe updates the failures of the task's job, which is active.
-func (j jobFailures) observe(t *statecache.Termination, now time.Time) {
+func (j *jobFailures) observe(t *statecache.Termination, now time.Time) {
 	switch {
 	case t.Reason == wire.ReasonCompleted:
-		delete(j, t.Job)
+		j.forget(t.Job)
 	case jobhealth.IsFailure(t.Reason):
-		if j[t.Job] == nil {
-			j[t.Job] = &jobhealth.Failures{}
+		if j.byJob[t.Job] == nil {
+			j.byJob[t.Job] = &jobhealth.Failures{}
 		}
-		j[t.Job].Add(t, now)
+		j.byJob[t.Job].Add(t, now)
 	}
 }
 
+// forget drops the failures of a job.
+func (j *jobFailures) forget(job wire.JobID) {
+	delete(j.byJob, job)
+	delete(j.heldBack, job)
+}
+
 // failsEverywhere reports whether a job fails on so many machines that none of them is to blame.
-func (j jobFailures) failsEverywhere(job wire.JobID) bool {
-	f := j[job]
+func (j *jobFailures) failsEverywhere(job wire.JobID) bool {
+	f := j.byJob[job]
 	return f != nil && f.Everywhere()
 }
 
-// judgeFailedJobs ends the failures of the jobs that have recovered.
+// judgeFailedJobs updates which jobs are held back, and ends the failures of those that have
+// recovered. Jobs that failed on a single machine don't count as held back: mostly that machine is
+// faulty, and the others are soon placed.
 func (a *Autoscaler) judgeFailedJobs(now time.Time) {
 	limits := jobhealth.TrialLimitsOf(a.config)
-	for id, f := range a.failures {
-		if f.Judge(a.tasksOfJob(id), limits, now) == jobhealth.Recovered {
-			delete(a.failures, id)
+	for id, f := range a.failures.byJob {
+		verdict := f.Judge(a.tasksOfJob(id), limits, now)
+		if verdict == jobhealth.Recovered {
+			a.failures.forget(id)
+			continue
 		}
+		a.failures.heldBack[id] = verdict == jobhealth.Unknown && f.Suspected() && f.Repeated()
 	}
 }
 
--- a/internal/autoscaler/planning_demands.go
+++ b/internal/autoscaler/planning_demands.go
@@ -49,7 +49,7 @@
 // demand returns the demand for the pending tasks of a job that is runnable after wait. ok is false
 // if it has none.
 func (g *inputGatherer) demand(id wire.JobID, job *statecache.Job, wait time.Duration) (demand planner.Demand, ok bool) {
-	pending := g.view.PendingTasks(id, job)
+	pending := g.limitHeldBack(id, g.view.PendingTasks(id, job))
 	if pending <= 0 {
 		return planner.Demand{}, false
 	}
@@ -95,6 +95,15 @@
 	return pending
 }
 
+// limitHeldBack limits the number of pending tasks to the one that may be tried if the job is held
+// back after failures and has no bound task.
+func (g *inputGatherer) limitHeldBack(id wire.JobID, pending int) int {
+	if !g.heldBack[id] {
+		return pending
+	}
+	return min(pending, max(0, 1-len(g.view.Bindings[id])))
+}
+
 // hasSuitableMachine reports whether any schedulable machine may run the job's tasks. If so, the
 // job waits its turn, however late it is: more expensive machines would not run it any sooner.
 func (g *inputGatherer) hasSuitableMachine(spec *wire.Job) bool {
--- a/internal/autoscaler/planning_demands_test.go
+++ b/internal/autoscaler/planning_demands_test.go
@@ -6,6 +6,7 @@
 
 	"lynxledge/internal/config"
 	"lynxledge/internal/resources"
+	"lynxledge/internal/statecache"
 	"lynxledge/wire"
 )
 
@@ -44,6 +45,25 @@
 	}
 }
 
+// Machines are provisioned only for the one task of a job that may be tried while the others are held
+// back. Guards against machines that stay empty for a job that fails on every machine.
+func TestDemandOfHeldBackJob(t *testing.T) {
+	view := statecache.NewView(statecache.ChunkTasks(8))
+	gatherer := inputGatherer{view: view, heldBack: map[wire.JobID]bool{"req-000001": true, "req-000002": false}}
+	if got := gatherer.limitHeldBack("req-000001", 10); got != 1 {
+		t.Errorf("%d tasks of a job that is held back", got)
+	}
+	for _, id := range []wire.JobID{"req-000002", "req-000003"} {
+		if got := gatherer.limitHeldBack(id, 10); got != 10 {
+			t.Errorf("%s: %d of 10 tasks, though it is not held back", id, got)
+		}
+	}
+	view.Bindings["req-000001"] = map[int]wire.MachineID{3: "i-1"}
+	if got := gatherer.limitHeldBack("req-000001", 10); got != 0 {
+		t.Errorf("%d tasks beside the one that is tried", got)
+	}
+}
+
 // A machine suits a job if the job allows its pool, the cloud offers the pool, and its type is large
 // enough.
 func TestSuitableMachine(t *testing.T) {
--- a/internal/autoscaler/planning_input.go
+++ b/internal/autoscaler/planning_input.go
@@ -20,6 +20,7 @@
 		config:           a.config,
 		view:             a.view,
 		jobs:             a.jobs,
+		heldBack:         a.failures.heldBack,
 		machineTypes:     &a.machineTypes,
 		now:              now,
 		schedulablePools: schedulablePools(a.view),
@@ -46,6 +47,7 @@
 	config           *config.Config
 	view             *statecache.View
 	jobs             *jobTracker
+	heldBack         map[wire.JobID]bool // jobs whose tasks are tried one at a time
 	machineTypes     *machineCatalog
 	now              time.Time
 	schedulablePools map[resources.Pool]bool // pools with at least one schedulable machine
