scheduler, autoscaler: name the steps of the backoff and of detecting faulty machines

Need: the backoff's exponent was arithmetic on unnamed numbers, the detection of faulty machines and the loading of a node's tasks were one long function each.

Change: constants for the first delay and the doublings, functions of one step; probes is holdsBack, as the log line says.

--- a/internal/autoscaler/faulty.go
+++ b/internal/autoscaler/faulty.go
@@ -21,27 +21,36 @@
 		if a.view.Active(t.Job) {
 			a.failures.observe(t, now)
 		}
-		m := a.view.Machines[t.Machine]
-		if m == nil {
-			continue
-		}
-		l := a.liveness.of(t.Machine)
-		if t.Reason == wire.ReasonError && a.hasRecovered(m, l, now) {
-			l.forgetFailures()
-		}
-		l.observeTermination(t, now)
-		failed := a.jobsFailedOn(l)
-		if failed >= faultyJobThreshold && m.DrainReason == "" && a.isConfirmedLeader() {
-			slog.Warn("faulty machine detected",
-				"machine", t.Machine,
-				"machine_type", m.MachineType,
-				"zone", m.Zone,
-				"failed_jobs", failed)
-			a.enqueueUpdate(t.Machine, machineUpdate{drainReason: drainReasonFaulty})
+		if m := a.view.Machines[t.Machine]; m != nil {
+			a.observeOnMachine(m, t, now)
+			a.drainIfFaulty(m)
 		}
 	}
 }
 
+// observeOnMachine updates the failures on a machine after a task on it terminated.
+func (a *Autoscaler) observeOnMachine(m *statecache.Machine, t *statecache.Termination, now time.Time) {
+	l := a.liveness.of(m.Name)
+	if t.Reason == wire.ReasonError && a.hasRecovered(m, l, now) {
+		l.forgetFailures()
+	}
+	l.observeTermination(t, now)
+}
+
+// drainIfFaulty drains a machine if several jobs failed on it.
+func (a *Autoscaler) drainIfFaulty(m *statecache.Machine) {
+	failed := a.jobsFailedOn(a.liveness.of(m.Name))
+	if failed < faultyJobThreshold || m.DrainReason != "" || !a.isConfirmedLeader() {
+		return
+	}
+	slog.Warn("faulty machine detected",
+		"machine", m.Name,
+		"machine_type", m.MachineType,
+		"zone", m.Zone,
+		"failed_jobs", failed)
+	a.enqueueUpdate(m.Name, machineUpdate{drainReason: drainReasonFaulty})
+}
+
 // hasRecovered reports whether a task on a machine has outlived the failed ones.
 func (a *Autoscaler) hasRecovered(m *statecache.Machine, l *machineLiveness, now time.Time) bool {
 	return l.failures.Count() > 0 && l.failures.Judge(a.tasksOnMachine(m), jobhealth.TrialLimitsOf(a.config), now) == jobhealth.Recovered
--- a/internal/scheduler/backoff.go
+++ b/internal/scheduler/backoff.go
@@ -13,6 +13,11 @@
 	"lynxledge/wire"
 )
 
+const (
+	firstDelayHeartbeats = 0.5 // delay after a job's first failure, in heartbeat intervals
+	maxDelayDoublings    = 5   // times that the delay is doubled, at most
+)
+
 // backoff delays jobs whose tasks failed or were preempted right after placement, and avoids
 // machines that refused tasks or didn't respond to commands.
 type backoff struct {
@@ -76,12 +81,19 @@
 		return
 	}
 	f.Add(t, now)
-	wait := min(b.workers.Heartbeats(math.Pow(2, float64(min(f.Count(), 6)-2))), b.workers.LeaseDuration)
+	wait := b.delayAfter(f.Count())
 	f.until = now.Add(wait)
 	f.judgeAt = f.until
 	slog.Info("task failed", "job", t.Job, "machine", t.Machine, "reason", t.Reason, "failures", f.Count(), "backoff_seconds", wait.Seconds())
 }
 
+// delayAfter returns for how long a job is delayed after its n-th failure since its last success.
+func (b *backoff) delayAfter(failures int) time.Duration {
+	doublings := min(failures-1, maxDelayDoublings)
+	delay := b.workers.Heartbeats(firstDelayHeartbeats * math.Pow(2, float64(doublings)))
+	return min(delay, b.workers.LeaseDuration)
+}
+
 // recordEarlyPreemption delays an array by one heartbeat interval, because one of its tasks was
 // preempted right after placement. It would take the next free capacity and be preempted again,
 // each time wasting two writes and a launch.
@@ -97,9 +109,9 @@
 	return now.Before(b.preemptedUntil[job])
 }
 
-// probes reports whether a job's tasks are to be tried one at a time, since the job itself may be
+// holdsBack reports whether a job's tasks are to be tried one at a time, since the job itself may be
 // faulty.
-func (b *backoff) probes(job wire.JobID) bool {
+func (b *backoff) holdsBack(job wire.JobID) bool {
 	f := b.failures[job]
 	return f != nil && f.Suspected() && !f.outlived
 }
--- a/internal/scheduler/backoff_test.go
+++ b/internal/scheduler/backoff_test.go
@@ -40,12 +40,12 @@
 		t.Error("after a refusal the machine is not avoided for just one heartbeat interval, or the job is delayed")
 	}
 	for i := range 3 {
-		if b.probes("req-000001") {
-			t.Errorf("probed after %d failures", i)
+		if b.holdsBack("req-000001") {
+			t.Errorf("held back after %d failures", i)
 		}
 		end("i-2", wire.ReasonError)
 	}
-	if !b.probes("req-000001") || !b.delays("req-000001", now) || b.avoids("i-2", now) {
+	if !b.holdsBack("req-000001") || !b.delays("req-000001", now) || b.avoids("i-2", now) {
 		t.Error("failures don't delay the job")
 	}
 	nodes := []*placement.Node{{Name: "i-1"}, {Name: "i-2"}, {Name: "i-3"}}
@@ -56,7 +56,7 @@
 		t.Errorf("%d nodes left where the job has failed on all", len(got))
 	}
 	end("i-3", wire.ReasonCompleted)
-	if b.delays("req-000001", now) || b.probes("req-000001") {
+	if b.delays("req-000001", now) || b.holdsBack("req-000001") {
 		t.Error("delayed after a success")
 	}
 }
--- a/internal/scheduler/job_placement.go
+++ b/internal/scheduler/job_placement.go
@@ -65,10 +65,10 @@
 }
 
 // isHeldBack reports whether no more tasks of the job may be placed for now because its earlier ones
-// failed: at most one is bound at a time until one succeeds.
+// failed: at most one is bound at a time until one succeeds or outlives the failed ones.
 func (p *jobPlacement) isHeldBack() bool {
 	bound := len(p.view.Bindings[p.id]) + p.placed[p.id]
-	if !p.backoff.probes(p.id) || bound == 0 {
+	if !p.backoff.holdsBack(p.id) || bound == 0 {
 		return false
 	}
 	p.backoff.reportHeldBack(p.id, bound, p.view.PendingTasks(p.id, p.job)-p.placed[p.id], p.now)
--- a/internal/scheduler/node_index.go
+++ b/internal/scheduler/node_index.go
@@ -194,7 +194,9 @@
 	n.Used, n.Tasks = resources.Vector{}, make([]placement.RunningTask, 0, len(rec.Bindings))
 	for i := range rec.Bindings {
 		binding := &rec.Bindings[i]
-		task := placement.RunningTask{TaskIndex: binding.TaskIndex, Attempt: binding.Attempt, Stopping: binding.StopToken > 0, BoundSince: time.Now()}
+		task := placement.RunningTask{
+			TaskIndex: binding.TaskIndex, Attempt: binding.Attempt, Stopping: binding.StopToken > 0, BoundSince: boundSince(old, binding),
+		}
 		if job := x.view.Jobs[binding.Job]; job != nil && job.Spec != nil {
 			task.Job = job.Spec
 			// A task that is stopped without a grace period counts as free capacity: it has
@@ -203,15 +205,22 @@
 				n.Used = n.Used.AddScaled(resources.OfTask(job.Spec), 1)
 			}
 		}
-		for _, before := range old {
-			if before.TaskIndex == binding.TaskIndex && before.Attempt == binding.Attempt && before.Job != nil && before.Job.ID == binding.Job {
-				task.BoundSince = before.BoundSince
-			}
-		}
 		n.Tasks = append(n.Tasks, task)
 	}
 }
 
+// boundSince returns when a binding was first observed, given the node's tasks before: now if its
+// attempt is not among them.
+func boundSince(before []placement.RunningTask, binding *statecache.TaskBinding) time.Time {
+	for i := range before {
+		task := &before[i]
+		if task.TaskIndex == binding.TaskIndex && task.Attempt == binding.Attempt && task.Job != nil && task.Job.ID == binding.Job {
+			return task.BoundSince
+		}
+	}
+	return time.Now()
+}
+
 // slotsFor returns how many tasks of a job the schedulable machines could run at once if they ran
 // nothing else but their present replicas of services. One is added so that it is never 0.
 func (x *nodeIndex) slotsFor(job *wire.Job) float64 {
--- a/internal/scheduler/replica_moves.go
+++ b/internal/scheduler/replica_moves.go
@@ -161,7 +161,7 @@
 // team is within its limit.
 func (c *cycle) canRebindReplica(service *statecache.Job) bool {
 	id := service.Spec.ID
-	return !c.moves.isMoving(id) && !c.backoff.delays(id, c.now) && !c.backoff.probes(id) &&
+	return !c.moves.isMoving(id) && !c.backoff.delays(id, c.now) && !c.backoff.holdsBack(id) &&
 		c.usage.WithinLimit(c.teamQuota(service.Spec.Team), resources.Vector{})
 }
 
