--- a/internal/scheduler/node_index_test.go
+++ b/internal/scheduler/node_index_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"lynxledge/internal/placement"
@@ -42,6 +43,30 @@
 	}
 }
 
+// A task that is bound to its node again counts as bound since then, also if no record in between was
+// seen. Guards against a failed task's age that makes its next attempt look like one that runs on.
+func TestReboundTaskHasItsOwnAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEmptyFixture()
+		f.submit("req-000001", wire.KindService, 1)
+		ageAfter := func(attempt uint64) time.Duration {
+			f.bind("a", "req-000001", 0)
+			rec := *f.view.Machines["i-a"]
+			rec.Bindings[0].Attempt = attempt
+			f.nodes.refresh("i-a", &rec)
+			return time.Since(f.nodes.node("i-a").FindTask("req-000001", 0).BoundSince)
+		}
+		ageAfter(1)
+		time.Sleep(time.Minute)
+		if age := ageAfter(1); age != time.Minute {
+			t.Errorf("the same attempt is bound for %v", age)
+		}
+		if age := ageAfter(2); age != 0 {
+			t.Errorf("another attempt is bound for %v", age)
+		}
+	})
+}
+
 // When a machine changes or is removed, the index's sums no longer include its former record, and
 // the ordinals and list positions of all nodes stay correct.
 func TestNodeIndexFollowsMachines(t *testing.T) {
