scheduler: tasks that fail together delay their job once

The backoff doubled with each failure, to a lease after five on one machine at the same moment; the trial of the next task and its fetch came on top.

Change: failures during a delay don't extend it, since their tasks were placed before it began; the next delay is twice as long, up to a lease, as before. A fetch counts as one and a half times the nominal one (PROTOCOL: give or take a third).

--- a/internal/jobhealth/failures.go
+++ b/internal/jobhealth/failures.go
@@ -26,7 +26,7 @@
 	// runMargin is how many times as long as any failed task another one must run to outlive it.
 	runMargin = 2.0
 	// fetchMargin is how many times the nominal fetch time an image may take.
-	fetchMargin = 2.0
+	fetchMargin = 1.5
 	// maxTrialLeases limits the trial, in lease durations, while a job has failed on one machine only.
 	maxTrialLeases = 0.75
 )
--- a/internal/scheduler/backoff.go
+++ b/internal/scheduler/backoff.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	firstDelayHeartbeats = 0.5 // delay after a job's first failure, in heartbeat intervals
+	firstDelayHeartbeats = 0.5 // a job's first delay, in heartbeat intervals
 	maxDelayDoublings    = 5   // times that the delay is doubled, at most
 )
 
@@ -31,6 +31,7 @@
 type jobFailures struct {
 	jobhealth.Failures
 	refusedBy map[wire.MachineID]bool // machines that refused its tasks
+	delays    int                     // number of times the job was delayed
 	until     time.Time               // the job is not placed before this time
 	outlived  bool                    // a bound task has outlived the failed ones
 	judgeAt   time.Time               // when its bound tasks are judged next
@@ -67,7 +68,8 @@
 // recordFailure records a failed task. After a refusal (insufficient capacity or an attempt
 // conflict) the machine is avoided for one heartbeat interval. After any other failure the job is
 // delayed, twice as long each time up to the lease duration, so that no job waits much longer than
-// that while there is free capacity.
+// that while there is free capacity. Failures during a delay don't extend it: the tasks were placed
+// before it began.
 func (b *backoff) recordFailure(t *statecache.Termination, now time.Time) {
 	f := b.failures[t.Job]
 	if f == nil {
@@ -81,15 +83,17 @@
 		return
 	}
 	f.Add(t, now)
-	wait := b.delayAfter(f.Count())
-	f.until = now.Add(wait)
-	f.judgeAt = f.until
-	slog.Info("task failed", "job", t.Job, "machine", t.Machine, "reason", t.Reason, "failures", f.Count(), "backoff_seconds", wait.Seconds())
+	if !now.Before(f.until) {
+		f.delays++
+		f.until = now.Add(b.delay(f.delays))
+		f.judgeAt = f.until
+	}
+	slog.Info("task failed", "job", t.Job, "machine", t.Machine, "reason", t.Reason, "failures", f.Count(), "backoff_seconds", f.until.Sub(now).Seconds())
 }
 
-// delayAfter returns for how long a job is delayed after its n-th failure since its last success.
-func (b *backoff) delayAfter(failures int) time.Duration {
-	doublings := min(failures-1, maxDelayDoublings)
+// delay returns how long the n-th delay of a job since its last success is.
+func (b *backoff) delay(n int) time.Duration {
+	doublings := min(n-1, maxDelayDoublings)
 	delay := b.workers.Heartbeats(firstDelayHeartbeats * math.Pow(2, float64(doublings)))
 	return min(delay, b.workers.LeaseDuration)
 }
