scheduler: the log line of a full record says for which task, and what is to be split

A job waited beside machines with room, and 'group record full' told neither the job that found it full, nor whether the group was to be split, so the cause (no split, preemption, or the planner) could not be told.

Change: job, priority, bytes, limit, machines, and the numbers of groups to be split. No behaviour changes.

--- a/internal/scheduler/binding.go
+++ b/internal/scheduler/binding.go
@@ -16,7 +16,7 @@
 		return false
 	}
 	if !c.hasRoomForBinding(update, entry, 0) {
-		c.markRecordFull(update, node)
+		c.markRecordFull(update, node, entry)
 		return false
 	}
 	rec := update.UpdateMachine(node.Name)
@@ -53,16 +53,24 @@
 	if p.hasRoomForBinding(update, p.queuedJob, stopBytes*len(victims.Tasks)) {
 		return true
 	}
-	p.markRecordFull(update, victims.Node)
+	p.markRecordFull(update, victims.Node, p.queuedJob)
 	return false
 }
 
 // markRecordFull makes a node unschedulable for the rest of the cycle because its group's record
-// is full.
-func (c *cycle) markRecordFull(update *groupUpdate, node *placement.Node) {
+// has no room for a task of a job.
+func (c *cycle) markRecordFull(update *groupUpdate, node *placement.Node, entry queuedJob) {
 	node.Schedulable = false
 	if len(update.Machines) > 1 && update.RetainedSize() > c.limits.valueBytes(fullSplitFillShare) {
 		c.layout.full[update.Name] = true
 	}
-	slog.Debug("group record full", "group", node.Group)
+	slog.Debug("group record full",
+		"group", update.Name,
+		"job", entry.id,
+		"priority", entry.job.Spec.Priority,
+		"bytes", update.size,
+		"limit_bytes", c.limits.valueBytes(1),
+		"machines", len(update.Machines),
+		"groups_to_split", len(c.layout.full),
+		"groups_oversized", len(c.layout.oversized))
 }
