scheduler: a full group record keeps no job from machines with room

Cause: a record whose machines have room but that takes no more bindings was split only in a cycle that split another record above 0.9 of the limit, which bindings alone never reach. A job stopped at the first node whose record was full, in every cycle the same; it neither tried the other nodes nor looked for tasks to preempt. Opening the full record also wrote it, unchanged, and the update that followed ran the next cycle.

Fix: nodes whose records are full are passed over, for placing, preemption and moves, and their groups aren't opened. A job that finds no node although one has room has the fullest-populated of these groups split in half by the next cycle (two writes, so also when writes are scarce), under the preconditions of every split. Preemption waits for a split that will make room. No merge undoes a split: together the halves fill more than a merged record may.

TestGroupsSplitInHalf is new. The constants of the fill shares moved to statecache, with the tests' use.

--- /dev/null
+++ b/cmd/lynxledge/full_records_test.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lynxledge/internal/config"
+	"lynxledge/internal/simulation"
+	"lynxledge/internal/statecache"
+	"lynxledge/wire"
+)
+
+// smallValues has the store take values in which the record of five machines has room for less than
+// half of the small tasks that fit on them.
+func smallValues(p *config.Params) {
+	p.Store.MaxValueKB = 1
+	p.Teams = []config.TeamQuota{{Name: "red"}, {Name: "blue"}}
+}
+
+// fillRecords runs large tasks, and then, on the machines rented for them, small and long tasks of
+// another team.
+func (c *cluster) fillRecords() (small *wire.Job) {
+	onLargeMachines := func(j *wire.Job) { j.MachineTypes, j.AllowSpot = []string{"l"}, false }
+	deadline := wire.Seconds(60)
+	c.submitArray(c.nextJobID(), "blue", 10, 30*time.Second, func(j *wire.Job) { j.CPUs, j.Deadline = 8, &deadline; onLargeMachines(j) })
+	c.advance(45 * time.Second)
+	small = c.submitArray(c.nextJobID(), "red", 120, 10*time.Minute, func(j *wire.Job) { j.CPUs, j.Priority = 0.5, wire.PriorityIdle; onLargeMachines(j) })
+	c.advance(30 * time.Second)
+	return small
+}
+
+// isSplit reports whether a transaction splits a group's record.
+func isSplit(txn *wire.Txn) bool {
+	prefix := statecache.Key(statecache.KindMachineGroup, "s.")
+	for _, write := range txn.Writes {
+		if strings.HasPrefix(write.PutKey, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// interceptFirstSplit handles the first attempt to split a record in place of the store.
+func (c *cluster) interceptFirstSplit(handle simulation.CommitInterceptor) (handled func() bool) {
+	var done atomic.Bool
+	c.store.InterceptCommits(func(from string, txn *wire.Txn, execute func() (uint64, error)) (uint64, error) {
+		if !isSplit(txn) || done.Swap(true) {
+			return execute()
+		}
+		return handle(from, txn, execute)
+	})
+	return done.Load
+}
+
+// A job starts beside machines with room although the common record of their groups is filled by small
+// tasks, whatever fails while the records are full or split; the small tasks run, too, and none
+// twice. Guards against work that waits for ever beside empty machines because their record has no
+// room.
+func TestJobStartsBesideFullRecords(t *testing.T) {
+	loseResponse := func(_ string, _ *wire.Txn, execute func() (uint64, error)) (uint64, error) {
+		_, _ = execute()
+		return 0, simulation.ErrNoResponse
+	}
+	executeLate := func(_ string, _ *wire.Txn, execute func() (uint64, error)) (uint64, error) {
+		time.AfterFunc(5*time.Second, func() { _, _ = execute() })
+		return 0, simulation.ErrNoResponse
+	}
+	intercept := func(handle simulation.CommitInterceptor) func(*testing.T, *cluster) {
+		return func(t *testing.T, c *cluster) {
+			handled := c.interceptFirstSplit(handle)
+			t.Cleanup(func() {
+				if !handled() {
+					t.Error("no record was split")
+				}
+			})
+		}
+	}
+	for _, trouble := range []struct {
+		name          string
+		before, after func(t *testing.T, c *cluster) // before the records fill up, and once they are full
+	}{
+		{"none", nil, nil},
+		{"response to a split lost", intercept(loseResponse), nil},
+		{"split executed late", intercept(executeLate), nil},
+		{"scheduler crashes as it splits", func(t *testing.T, c *cluster) {
+			intercept(func(from string, txn *wire.Txn, execute func() (uint64, error)) (uint64, error) {
+				go c.fastRestart(from)
+				return loseResponse(from, txn, execute)
+			})(t, c)
+		}, nil},
+		{"few writes", func(_ *testing.T, c *cluster) {
+			c.store.SetLimits(simulation.StoreLimits{WriteRate: 6, MaxValueKB: 1, MaxTxnOps: 8})
+		}, nil},
+		{"scheduler crashes", nil, func(_ *testing.T, c *cluster) { c.fastRestart(c.scheduler()) }},
+		{"leader crashes", nil, func(_ *testing.T, c *cluster) { c.fastRestart(c.leader()) }},
+		{"all controllers crash", nil, func(_ *testing.T, c *cluster) {
+			c.crashAll()
+			c.advance(4 * time.Second)
+			c.restartAll()
+		}},
+		{"a machine fails", nil, func(_ *testing.T, c *cluster) { c.cloud.FailMachine(1, false) }},
+	} {
+		t.Run(trouble.name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				withCluster(t, seed, smallCluster, smallValues, func(t *testing.T, c *cluster) {
+					c.advance(5 * time.Second)
+					if trouble.before != nil {
+						trouble.before(t, c)
+					}
+					small := c.fillRecords()
+					if trouble.after != nil {
+						trouble.after(t, c)
+						c.advance(10 * time.Second)
+					}
+					c.invariants.FaultsOver()
+					last := c.submitArray(c.nextJobID(), "blue", 2, time.Minute, func(j *wire.Job) {
+						j.CPUs, j.MachineTypes, j.AllowSpot = 8, []string{"l"}, false
+					})
+					c.advance(90 * time.Second)
+					if c.invariants.FirstTaskStartedAt(last.ID).IsZero() {
+						t.Errorf("seed %d: %s has not started", seed, last.ID)
+					}
+					if running := c.invariants.RunningTasks(small.ID); running != small.TaskCount {
+						t.Errorf("seed %d: %d of %d small tasks run", seed, running, small.TaskCount)
+					}
+					c.healAndFinish()
+					for _, violation := range c.violations() {
+						t.Errorf("seed %d: %s", seed, violation)
+					}
+				})
+			}
+		})
+	}
+}
--- a/internal/scheduler/binding.go
+++ b/internal/scheduler/binding.go
@@ -1,11 +1,8 @@
 package scheduler
 
 import (
-	"log/slog"
-
 	"lynxledge/internal/placement"
 	"lynxledge/internal/statecache"
-	"lynxledge/wire"
 )
 
 // bind adds a task to the record of a node's machine. It returns false if the record or the
@@ -16,7 +13,7 @@
 		return false
 	}
 	if !c.hasRoomForBinding(update, entry, 0) {
-		c.markRecordFull(update, node, entry)
+		node.Schedulable = false // for the rest of the cycle
 		return false
 	}
 	rec := update.UpdateMachine(node.Name)
@@ -39,38 +36,6 @@
 // hasRoomForBinding reports whether a group's next record and the transaction have room for one
 // more binding of a job and moreBytes besides.
 func (c *cycle) hasRoomForBinding(update *groupUpdate, entry queuedJob, moreBytes int) bool {
-	share := bindingFillShare
-	if entry.job.Spec.Priority >= wire.PriorityHigh {
-		share = highPriorityFillShare
-	}
-	return update.size+moreBytes+statecache.BindingBytes(entry.id) <= c.limits.valueBytes(share) &&
+	return update.size+moreBytes+statecache.BindingBytes(entry.id) <= c.limits.bindingBytes(entry.job.Spec.Priority) &&
 		c.bytes()+moreBytes <= statecache.MaxTxnRecordBytes
 }
-
-// hasRoomAfterStops reports whether a record has room to stop the victims and bind their successor,
-// so that nothing is stopped for a task that can't be bound.
-func (p *jobPlacement) hasRoomAfterStops(update *groupUpdate, victims *placement.Victims) bool {
-	if p.hasRoomForBinding(update, p.queuedJob, stopBytes*len(victims.Tasks)) {
-		return true
-	}
-	p.markRecordFull(update, victims.Node, p.queuedJob)
-	return false
-}
-
-// markRecordFull makes a node unschedulable for the rest of the cycle because its group's record
-// has no room for a task of a job.
-func (c *cycle) markRecordFull(update *groupUpdate, node *placement.Node, entry queuedJob) {
-	node.Schedulable = false
-	if len(update.Machines) > 1 && update.RetainedSize() > c.limits.valueBytes(fullSplitFillShare) {
-		c.layout.full[update.Name] = true
-	}
-	slog.Debug("group record full",
-		"group", update.Name,
-		"job", entry.id,
-		"priority", entry.job.Spec.Priority,
-		"bytes", update.size,
-		"limit_bytes", c.limits.valueBytes(1),
-		"machines", len(update.Machines),
-		"groups_to_split", len(c.layout.full),
-		"groups_oversized", len(c.layout.oversized))
-}
--- a/internal/scheduler/cycle.go
+++ b/internal/scheduler/cycle.go
@@ -31,6 +31,7 @@
 
 	victims       victimFacts
 	updatedGroups updatedGroupNodes
+	fullRecords   fullRecords
 }
 
 // newCycle begins a scheduling cycle of at most limit writes. usage is the teams' usage before
@@ -49,6 +50,7 @@
 			updated:     map[*placement.Node]bool{},
 			replicaSets: map[wire.JobID]*placement.ReplicaSet{},
 		},
+		fullRecords: newFullRecords(),
 	}
 }
 
@@ -61,6 +63,7 @@
 	s.moves.renewClaims(s.view, s.nodes, now)
 	s.judgeFailedJobs(now)
 	c.openOversizedGroups()
+	c.openFullGroups()
 	c.finishCompletedJobs(hasAssignments)
 	if hasAssignments {
 		s.consultAdvisor(now)
--- a/internal/scheduler/evidence_queue_test.go
+++ b/internal/scheduler/evidence_queue_test.go
@@ -102,7 +102,7 @@
 				s.evidence.put("a", evidence.Heartbeat.Machine, &pendingEvidence{evidence, time.Now(), 1})
 			}
 			c := s.newCycle(time.Now(), 8, resources.Usage{})
-			if full := s.view.Groups["a"].RetainedSize(); full < s.limits.valueBytes(bindingFillShare)*9/10 {
+			if full := s.view.Groups["a"].RetainedSize(); full < s.limits.valueBytes(statecache.BindingFillShare)*9/10 {
 				t.Errorf("%d bytes: the record is not full", full)
 			}
 			c.applyPendingEvidence(true, false)
@@ -117,7 +117,7 @@
 			if bound < machines/2 {
 				t.Errorf("room for %d tasks in place of %d", bound, machines)
 			}
-			if size := c.groupUpdates["a"].RetainedSize(); size > s.limits.valueBytes(bindingFillShare) {
+			if size := c.groupUpdates["a"].RetainedSize(); size > s.limits.valueBytes(statecache.BindingFillShare) {
 				t.Errorf("%d bytes", size)
 			}
 		})
--- a/internal/scheduler/group_layout.go
+++ b/internal/scheduler/group_layout.go
@@ -9,65 +9,102 @@
 	"lynxledge/internal/statecache"
 )
 
-// groupLayout tracks the groups whose records should be split.
+// groupLayout tracks the sizes of the groups' records, and the groups whose records should be split.
 type groupLayout struct {
 	limits    recordLimits
+	bytes     map[string]int  // sizes of the groups' records, without terminations
 	oversized map[string]bool // groups whose records are close to or beyond the limit of a value
 	full      map[string]bool // groups whose records have no room for bindings while their machines have capacity
 }
 
 func newGroupLayout(limits recordLimits) *groupLayout {
-	return &groupLayout{limits: limits, oversized: map[string]bool{}, full: map[string]bool{}}
+	return &groupLayout{limits: limits, bytes: map[string]int{}, oversized: map[string]bool{}, full: map[string]bool{}}
 }
 
 // observe updates the layout from a group's new record; nil if it was deleted. Full records are
-// detected only when tasks are bound (cycle.markRecordFull).
+// detected only when a job finds no node (jobPlacement.requestRecordRoom).
 func (l *groupLayout) observe(name string, group *statecache.MachineGroup) {
 	delete(l.oversized, name)
 	if group == nil {
+		delete(l.bytes, name)
 		delete(l.full, name)
-	} else if group.RetainedSize() > l.limits.valueBytes(splitFillShare) {
+		return
+	}
+	l.bytes[name] = group.RetainedSize()
+	if l.bytes[name] > l.limits.valueBytes(splitFillShare) {
 		l.oversized[name] = true
 	}
 }
 
 // openOversizedGroups adds the groups to be split to the transaction, as far as it has room: those
 // whose records are, or may become, too large to be written, by growth or because the limit of a
-// value has been lowered, and in the same cycle those whose records are full.
+// value has been lowered.
 func (c *cycle) openOversizedGroups() {
 	if len(c.layout.oversized) == 0 || !c.ownsAllTeams() {
 		return
 	}
-	for _, groups := range []map[string]bool{c.layout.oversized, c.layout.full} {
-		for name := range groups {
-			group := c.view.Groups[name]
-			if group == nil || len(group.Machines)+len(group.Completions) < 2 {
-				delete(groups, name)
-				continue
-			}
-			if c.groupUpdates[name] != nil {
-				continue
-			}
-			parts := min(statecache.MaxSplitParts(group.RetainedSize(), c.limits.store.ValueSizeLimit()), c.limits.txnOps()-1)
-			if c.ops()+1+parts > c.limit {
-				return // left to a cycle with more writes
-			}
-			c.splitParts[name] = parts
-			if c.openGroup(name) == nil {
-				delete(c.splitParts, name)
+	for name := range c.layout.oversized {
+		group := c.view.Groups[name]
+		if group == nil || len(group.Machines)+len(group.Completions) < 2 {
+			delete(c.layout.oversized, name)
+			continue
+		}
+		parts := min(statecache.MaxSplitParts(group.RetainedSize(), c.limits.store.ValueSizeLimit()), c.limits.txnOps()-1)
+		if c.ops()+1+parts > c.limit {
+			return // left to a cycle with more writes
+		}
+		c.openToSplit(name, parts)
+	}
+}
+
+// openToSplit adds a group to the transaction, to be split into itself and at most parts new groups. It
+// returns nil if the transaction has no room for it.
+func (c *cycle) openToSplit(name string, parts int) *groupUpdate {
+	c.splitParts[name] = parts
+	update := c.openGroup(name)
+	if update == nil {
+		delete(c.splitParts, name)
+	}
+	return update
+}
+
+// halvingWrites is the number of writes that splitting a record in half takes.
+const halvingWrites = 2
+
+// openFullGroups adds the groups whose records keep tasks from machines with capacity to the
+// transaction, in at most half of its writes, but at least one: to be split in half if all teams are
+// assigned to this process, and otherwise to have their completions moved to completion chunks.
+// Two halves take up less than a split by size leaves them, and no merge undoes it: together they are
+// larger than merged groups may be.
+func (c *cycle) openFullGroups() {
+	for name := range c.layout.full {
+		opened := c.ops()
+		if opened+halvingWrites > c.limit || opened > 0 && opened+halvingWrites > c.limit/2 {
+			return // left to a later cycle
+		}
+		delete(c.layout.full, name) // marked again if it is still full when a job needs room
+		if c.layout.bytes[name] <= c.limits.valueBytes(fullSplitFillShare) || c.groupUpdates[name] != nil {
+			continue
+		}
+		switch group := c.view.Groups[name]; {
+		case len(group.Machines) > 1 && c.ownsAllTeams():
+			c.halved[name] = c.openToSplit(name, halvingWrites-1) != nil
+		case len(group.Completions) > 0:
+			if update := c.openGroup(name); update != nil {
+				c.compactCompletions(update)
+				update.size = update.RetainedSize()
 			}
 		}
 	}
 }
 
-// splitGroups splits the groups that openOversizedGroups opened, and adds the new groups to the
+// splitGroups splits the groups that were opened to be split, and adds the new groups to the
 // commit. It returns false if a group can't be split.
 func (c *cycle) splitGroups(txn *statecache.Commit) bool {
-	for name, maxParts := range c.splitParts {
-		update := c.groupUpdates[name]
-		parts, err := update.Split(c.limits.store.ValueSizeLimit(), maxParts)
+	for name := range c.splitParts {
+		parts, err := c.splitGroup(name)
 		if err != nil {
-			slog.Error("group split failed, nothing written", "group", name, "bytes", update.RetainedSize(), "error", err)
+			slog.Error("group split failed, nothing written", "group", name, "bytes", c.groupUpdates[name].RetainedSize(), "error", err)
 			delete(c.layout.oversized, name)
 			return false
 		}
@@ -76,11 +113,19 @@
 			part.AddTo(txn) // the group that was split is added later, by addGroupsTo
 		}
 		maps.Copy(c.assignmentPreconditions, c.view.AssignmentRevisions())
-		delete(c.layout.full, name)
 	}
 	return true
 }
 
+// splitGroup splits a group that was opened to be split, and returns the new groups.
+func (c *cycle) splitGroup(name string) ([]*statecache.GroupUpdate, error) {
+	update := c.groupUpdates[name]
+	if c.halved[name] {
+		return update.SplitInHalf(), nil
+	}
+	return update.Split(c.limits.store.ValueSizeLimit(), c.splitParts[name])
+}
+
 // mergeGroups merges groups that the cycle writes anyway, that belong to the same pool and whose
 // contents fit into one record: fewer groups take fewer writes, so free capacity is known sooner.
 // Only groups whose machines have no free capacity are merged: with two groups of new machines the
--- a/internal/scheduler/job_placement.go
+++ b/internal/scheduler/job_placement.go
@@ -47,6 +47,7 @@
 	if _, known := c.jobPreconditions[entry.id]; !known && !c.canAddPrecondition() {
 		return
 	}
+	clear(c.fullRecords.blocking)
 	p := &jobPlacement{cycle: c, queuedJob: entry, spec: spec, quota: quota, need: need, zones: c.zoneCounts(entry.id)}
 	p.mayPreempt = p.mayPreemptNow()
 	p.searchesVictims = c.rng.Float64() < c.victims.searchShares[spec.Priority]
@@ -112,12 +113,13 @@
 	switch {
 	case victims != nil:
 		update := p.openGroup(victims.Node.Group)
-		if update == nil || !p.hasRoomAfterStops(update, victims) {
+		if update == nil || !p.hasRoomForBinding(update, p.queuedJob, stopBytes*len(victims.Tasks)) {
 			return false
 		}
 		p.preempt(update, victims, p.spec)
 		node = victims.Node
 	case node == nil:
+		p.requestRecordRoom()
 		p.recordShortage()
 		return false
 	case p.advice.current == nil && !p.moves.isMoving(p.id) && p.nodes.shouldWaitForBoot(p.spec, node, p.now):
@@ -213,6 +215,9 @@
 	if !p.searchesVictims {
 		return nil
 	}
+	if node == nil && p.awaitsSplit() {
+		return nil
+	}
 	var victims *placement.Victims
 	entitled := p.spec.Priority >= wire.PriorityHigh || p.usage.WithinGuarantee(p.quota, p.need)
 	if p.mayPreempt && entitled && (node == nil || p.spec.Priority >= wire.PriorityHigh && p.fetchesTooLong(p.spec, node)) {
@@ -220,7 +225,7 @@
 		if node != nil { // preemption helps only on nodes that have the image
 			nodes = slices.DeleteFunc(slices.Clone(nodes), func(n *placement.Node) bool { return !n.HasImage(p.spec.Image) })
 		}
-		victims = placement.FindVictims(p.spec, p.zones, p.nodes.offers, nodes, placement.Quotas{Usage: p.usage, TeamQuota: p.teamQuota})
+		victims = p.findVictims(nodes)
 	}
 	if node == nil && victims == nil && placement.MayMoveReplicasFor(p.spec) {
 		victims = p.findReplicaToMove()
@@ -228,6 +233,19 @@
 	return victims
 }
 
+// findVictims returns the tasks to preempt on one of the nodes whose record has room to stop them
+// and bind their successor; nil if there are none. So nothing is stopped for a task that can't be
+// bound, and a full record keeps no task from the other nodes.
+func (p *jobPlacement) findVictims(nodes []*placement.Node) *placement.Victims {
+	for {
+		victims := placement.FindVictims(p.spec, p.zones, p.nodes.offers, nodes, placement.Quotas{Usage: p.usage, TeamQuota: p.teamQuota})
+		if victims == nil || p.recordTakes(victims.Node, p.spec, stopBytes*len(victims.Tasks)) {
+			return victims
+		}
+		nodes = slices.DeleteFunc(slices.Clone(nodes), func(n *placement.Node) bool { return n == victims.Node })
+	}
+}
+
 // victimSearchNodes returns the nodes to search for victims.
 func (p *jobPlacement) victimSearchNodes() []*placement.Node {
 	if p.victimNodes == nil {
--- /dev/null
+++ b/internal/scheduler/record_room.go
@@ -0,0 +1,90 @@
+package scheduler
+
+import (
+	"log/slog"
+
+	"lynxledge/internal/placement"
+	"lynxledge/internal/statecache"
+	"lynxledge/wire"
+)
+
+// fullRecords holds what a cycle knows of records that have no room for bindings.
+type fullRecords struct {
+	nextBytes map[string]int  // size of the next record of groups whose present one is full, by group
+	blocking  map[string]bool // groups that keep tasks of the job being placed from nodes with capacity
+}
+
+func newFullRecords() fullRecords {
+	return fullRecords{nextBytes: map[string]int{}, blocking: map[string]bool{}}
+}
+
+// recordTakes reports whether the record of a node's group has room for one more binding of a job
+// and moreBytes besides. If not, it remembers that the group blocks the job.
+func (c *cycle) recordTakes(n *placement.Node, job *wire.Job, moreBytes int) bool {
+	maxBytes := c.limits.bindingBytes(job.Priority) - moreBytes - statecache.BindingBytes(job.ID)
+	if c.recordBytes(n.Group, maxBytes) <= maxBytes {
+		return true
+	}
+	c.fullRecords.blocking[n.Group] = true
+	return false
+}
+
+// recordBytes returns an upper bound on the size of a group's next record. It is exact only if it
+// exceeds maxBytes: completions of jobs that have ended count towards the present record alone.
+func (c *cycle) recordBytes(group string, maxBytes int) int {
+	if update := c.groupUpdates[group]; update != nil {
+		return update.size
+	}
+	bytes := c.layout.bytes[group]
+	current := c.view.Groups[group]
+	if bytes <= maxBytes || current == nil || len(current.Completions) == 0 {
+		return bytes
+	}
+	next, known := c.fullRecords.nextBytes[group]
+	if !known {
+		next = c.view.UpdateGroup(group).RetainedSize()
+		c.fullRecords.nextBytes[group] = next
+	}
+	return next
+}
+
+// requestRecordRoom has the full record that blocks the job relieved by the next cycle: one record
+// for each job and cycle, since a split costs writes and makes room for many bindings.
+func (p *jobPlacement) requestRecordRoom() {
+	group := p.recordToRelieve()
+	if group == nil {
+		return
+	}
+	p.layout.full[group.Name] = true
+	slog.Debug("group record full",
+		"group", group.Name,
+		"job", p.id,
+		"priority", p.spec.Priority,
+		"bytes", group.RetainedSize(),
+		"limit_bytes", p.limits.valueBytes(1),
+		"machines", len(group.Machines),
+		"groups_blocking", len(p.fullRecords.blocking))
+}
+
+// awaitsSplit reports whether a node will take a task of the job once the next cycle has split its
+// group's record, so that nothing need be stopped for it.
+func (p *jobPlacement) awaitsSplit() bool {
+	group := p.recordToRelieve()
+	return group != nil && len(group.Machines) > 1 && p.ownsAllTeams()
+}
+
+// recordToRelieve returns the group with the most machines among those that block the job and can be
+// relieved; nil if there is none.
+func (p *jobPlacement) recordToRelieve() *statecache.MachineGroup {
+	var best *statecache.MachineGroup
+	for name := range p.fullRecords.blocking {
+		group := p.view.Groups[name]
+		if group == nil || len(group.Machines) < 2 && len(group.Completions) == 0 {
+			continue
+		}
+		if best == nil || len(group.Machines) > len(best.Machines) || len(group.Machines) == len(best.Machines) && name < best.Name {
+			best = group
+		}
+	}
+	return best
+}
--- a/internal/scheduler/replica_moves.go
+++ b/internal/scheduler/replica_moves.go
@@ -96,7 +96,8 @@
 }
 
 // moveNodes returns the nodes to move a replica from or to so that the job gets capacity: the nodes
-// to search for victims and a sample of those with capacity.
+// to search for victims and a sample of those with capacity, if their records have room to stop the
+// replica and for a binding.
 func (p *jobPlacement) moveNodes() []*placement.Node {
 	list := slices.Clone(p.victimSearchNodes())
 	listed := make(map[*placement.Node]bool, len(list))
@@ -108,6 +109,7 @@
 			list = append(list, n)
 		}
 	}
+	list = slices.DeleteFunc(list, func(n *placement.Node) bool { return !p.recordTakes(n, p.spec, stopBytes) })
 	sortByOrdinal(list)
 	p.updateVictimFacts(list)
 	return list
--- a/internal/scheduler/replica_moves_test.go
+++ b/internal/scheduler/replica_moves_test.go
@@ -308,7 +308,7 @@
 		c.victims.searchShares = map[wire.Priority]float64{wire.PriorityNormal: 1}
 		for _, group := range []string{"b", "c"} {
 			update := c.openGroup(group)
-			update.size = max(update.size, c.limits.valueBytes(bindingFillShare)-room)
+			update.size = max(update.size, c.limits.valueBytes(statecache.BindingFillShare)-room)
 		}
 		for _, entry := range f.jobs.pending(f.ownAssignments(), nil, f.now) {
 			c.placeJob(entry)
--- a/internal/scheduler/transaction.go
+++ b/internal/scheduler/transaction.go
@@ -13,6 +13,7 @@
 	completionChunks        map[string]*statecache.CompletionChunk // by key
 	finishedJobs            map[wire.JobID]int                     // jobs to mark as done, with the number of writes for each
 	splitParts              map[string]int                         // groups to split, with the most new records for each
+	halved                  map[string]bool                        // those of them that are split in half
 	cancellations           map[wire.JobID]*statecache.Job         // records of cancelled jobs to store
 	jobPreconditions        map[wire.JobID]uint64                  // required revisions of job records
 	assignmentPreconditions map[wire.TeamName]uint64               // required revisions of assignments
@@ -27,6 +28,7 @@
 		completionChunks:        map[string]*statecache.CompletionChunk{},
 		finishedJobs:            map[wire.JobID]int{},
 		splitParts:              map[string]int{},
+		halved:                  map[string]bool{},
 		cancellations:           map[wire.JobID]*statecache.Job{},
 		jobPreconditions:        map[wire.JobID]uint64{},
 		assignmentPreconditions: map[wire.TeamName]uint64{},
--- a/internal/statecache/group_split.go
+++ b/internal/statecache/group_split.go
@@ -62,24 +62,73 @@
 // holds a single machine or the completions of a single move. Machines and completions are
 // copied, not modified.
 func (u *GroupUpdate) splitToSize(maxBytes int) []*GroupUpdate {
-	machines, completions := u.Machines, u.Completions
 	split := newGroupSplit(u, maxBytes)
-	u.Machines, u.Completions = nil, map[wire.JobID][]int{}
+	for _, item := range u.takeContents() {
+		item.addTo(split.partWithRoom(item.bytes))
+	}
+	return split.parts[1:]
+}
 
-	whole := MachineGroup{Machines: machines, affixes: u.affixes}
-	for i, entry := range whole.encodeMachines(commonAffixes(machines)) {
-		part := split.partWithRoom(machines[i].entryBytes(entry))
-		moved := *machines[i]
+// SplitInHalf moves about half of the group's contents, by bytes, to a new group, and returns it; the
+// group keeps its key and the rest. Both hold something. It returns nothing if the contents can't be
+// divided. The caller must commit both as described at Split.
+func (u *GroupUpdate) SplitInHalf() []*GroupUpdate {
+	part := newGroupSplit(u, 0).newPart()
+	contents := u.takeContents()
+	total := 0
+	for i := range contents {
+		total += contents[i].bytes
+	}
+	before := 0
+	for _, item := range contents {
+		if 2*before+item.bytes < total || len(contents) == 1 { // its middle is in the first half
+			item.addTo(u)
+		} else {
+			item.addTo(part)
+		}
+		before += item.bytes
+	}
+	if part.Empty() {
+		return nil
+	}
+	return []*GroupUpdate{part}
+}
+
+// groupItem is a part of a group's contents that a split moves as a whole: a machine, or completed
+// tasks of a job.
+type groupItem struct {
+	machine *Machine // nil: completed tasks
+	job     wire.JobID
+	tasks   []int
+	bytes   int // upper bound on its size in a record
+}
+
+// addTo adds the item to a group.
+func (i *groupItem) addTo(u *GroupUpdate) {
+	if i.machine != nil {
+		u.Machines = append(u.Machines, i.machine)
+		return
+	}
+	u.Completions[i.job] = append(u.Completions[i.job], i.tasks...)
+}
+
+// takeContents removes the machines and completions from the group, and returns them, the machines
+// sorted by name and first. They are copied, not modified.
+func (u *GroupUpdate) takeContents() []groupItem {
+	items := make([]groupItem, 0, len(u.Machines)+len(u.Completions))
+	whole := MachineGroup{Machines: u.Machines, affixes: u.affixes}
+	for i, entry := range whole.encodeMachines(commonAffixes(u.Machines)) {
+		moved := *u.Machines[i]
 		moved.encoded = "" // the affixes may differ
-		part.Machines = append(part.Machines, &moved)
+		items = append(items, groupItem{machine: &moved, bytes: u.Machines[i].entryBytes(entry)})
 	}
-	for job, tasks := range completions {
+	for job, tasks := range u.Completions {
 		for moved := range slices.Chunk(tasks, completionsPerMove) {
-			part := split.partWithRoom(completionBytes(job, moved))
-			part.Completions[job] = append(part.Completions[job], moved...)
+			items = append(items, groupItem{job: job, tasks: moved, bytes: completionBytes(job, moved)})
 		}
 	}
-	return split.parts[1:]
+	u.Machines, u.Completions = nil, map[wire.JobID][]int{}
+	return items
 }
 
 // groupSplit distributes the contents of a group among itself and new groups.
@@ -101,7 +150,7 @@
 	if len(u.Machines) > 0 {
 		firstMachine = string(u.Machines[0].Name)
 	}
-	empty := groupOverheadBytes + len(u.MachineType) + len(u.Zone) + affixBytes
+	empty := emptyGroupBytes(u.MachineType, u.Zone, affixBytes)
 	return &groupSplit{
 		group: u, firstMachine: firstMachine, maxBytes: maxBytes, emptyBytes: empty,
 		parts: []*GroupUpdate{u}, sizes: []int{empty},
--- a/internal/statecache/group_split_test.go
+++ b/internal/statecache/group_split_test.go
@@ -23,23 +23,70 @@
 		fill := rapid.IntRange(300, 1500).Draw(t, "fill")
 		update := &GroupUpdate{MachineGroup: *g, updated: map[wire.MachineID]*Machine{}}
 		parts := append([]*GroupUpdate{update}, update.splitToSize(fill)...)
-		machines, completions := map[wire.MachineID]*Machine{}, map[wire.JobID][]int{}
 		checkPartSizes(t, parts, fill)
-		for _, part := range parts {
-			for job, tasks := range part.Completions {
-				completions[job] = append(completions[job], tasks...)
-			}
-			for _, m := range decodePart(t, part).Machines {
-				if machines[m.Name] != nil {
-					t.Fatalf("%s twice", m.Name)
-				}
-				machines[m.Name] = m
+		checkParts(t, g, parts)
+	})
+}
+
+// A split in half neither loses nor duplicates a machine, binding or completion. Both halves hold
+// something, and what they hold differs by no more than what is moved as a whole. What can't be divided
+// stays as it is.
+func TestGroupsSplitInHalf(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := genGroup(t)
+		addCompletions(t, g)
+		g.ModRevision, g.Terminations = 9, nil
+		update := &GroupUpdate{MachineGroup: *g, updated: map[wire.MachineID]*Machine{}}
+		items := (&GroupUpdate{MachineGroup: *g}).takeContents()
+		parts := append([]*GroupUpdate{update}, update.SplitInHalf()...)
+		checkParts(t, g, parts)
+		if want := min(2, max(1, len(items))); len(parts) != want {
+			t.Fatalf("%d records of %d items", len(parts), len(items))
+		}
+		if len(parts) < 2 {
+			return
+		}
+		kept, moved, largest := 0, 0, 0
+		for _, item := range items {
+			largest = max(largest, item.bytes)
+			if holds(parts[0], &item) {
+				kept += item.bytes
+			} else {
+				moved += item.bytes
 			}
 		}
-		checkSplit(t, g, machines, completions)
+		if parts[0].Name != g.Name || parts[0].Name == parts[1].Name || kept == 0 || moved == 0 || max(kept-moved, moved-kept) > largest {
+			t.Fatalf("%s keeps %d bytes, %s gets %d; the largest item has %d", parts[0].Name, kept, parts[1].Name, moved, largest)
+		}
 	})
 }
 
+// holds reports whether an item of a group's contents is in a part of the group.
+func holds(part *GroupUpdate, item *groupItem) bool {
+	if item.machine == nil {
+		return slices.Contains(part.Completions[item.job], item.tasks[0])
+	}
+	_, found := part.machineIndex(item.machine.Name)
+	return found
+}
+
+// checkParts checks that the parts of a group hold its machines, bindings and completions once each.
+func checkParts(t *rapid.T, g *MachineGroup, parts []*GroupUpdate) {
+	machines, completions := map[wire.MachineID]*Machine{}, map[wire.JobID][]int{}
+	for _, part := range parts {
+		for job, tasks := range part.Completions {
+			completions[job] = append(completions[job], tasks...)
+		}
+		for _, m := range decodePart(t, part).Machines {
+			if machines[m.Name] != nil {
+				t.Fatalf("%s twice", m.Name)
+			}
+			machines[m.Name] = m
+		}
+	}
+	checkSplit(t, g, machines, completions)
+}
+
 // addCompletions adds as many completions as the record of an earlier version may hold.
 func addCompletions(t *rapid.T, g *MachineGroup) {
 	for job, tasks := range g.Completions {
