planner: a machine counts only for the tasks that its record has room for

Callers would see: tasks wait for ever beside a machine with free CPUs, and no other machine is rented for them.

Cause: the planner and the check whether an unreachable machine's replicas fit elsewhere counted CPUs and memory only; zone recovery's plan, too.

Fix: a machine of the planner has a number of tasks that the store has room for: in a record of its own, or beside the machines of its group while there are more teams than a split may require (ownsAllTeams). Nodes whose own entry fills the record count neither as room for recovery and sampling nor for replicas of unreachable machines.

--- a/cmd/lynxledge/full_records_test.go
+++ b/cmd/lynxledge/full_records_test.go
@@ -134,3 +134,37 @@
 		})
 	}
 }
+
+// Work starts on other machines, rented for it if need be, although small tasks have filled the record
+// of a machine that has room otherwise and is alone in its record. Guards against work that waits for
+// ever because room that no binding can use is counted for it.
+func TestWorkStartsBesideMachineWithFullRecord(t *testing.T) {
+	for _, kind := range []wire.JobKind{wire.KindArray, wire.KindService} {
+		t.Run(string(kind), func(t *testing.T) {
+			for seed := range uint64(3) {
+				withCluster(t, seed, smallCluster, smallValues, func(t *testing.T, c *cluster) {
+					c.advance(5 * time.Second)
+					onLargeMachines := func(j *wire.Job) { j.MachineTypes, j.AllowSpot = []string{"l"}, false }
+					small := c.submitArray(c.nextJobID(), "red", 100, 10*time.Minute, func(j *wire.Job) {
+						j.Kind, j.Priority, j.CPUs, j.MemoryGB = kind, wire.PriorityNormal, 0.1, 0.1
+						onLargeMachines(j)
+					})
+					c.invariants.FaultsOver()
+					c.advance(90 * time.Second)
+					if running := c.invariants.RunningTasks(small.ID); running != small.TaskCount {
+						t.Errorf("seed %d: %d of %d small tasks run", seed, running, small.TaskCount)
+					}
+					last := c.submitArray(c.nextJobID(), "blue", 1, time.Minute, func(j *wire.Job) { j.CPUs = 8; onLargeMachines(j) })
+					c.advance(90 * time.Second)
+					if c.invariants.FirstTaskStartedAt(last.ID).IsZero() {
+						t.Errorf("seed %d: %s has not started", seed, last.ID)
+					}
+					c.healAndFinish()
+					for _, violation := range c.violations() {
+						t.Errorf("seed %d: %s", seed, violation)
+					}
+				})
+			}
+		})
+	}
+}
--- a/internal/autoscaler/planning_demands_test.go
+++ b/internal/autoscaler/planning_demands_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lynxledge/internal/config"
+	"lynxledge/internal/planner"
 	"lynxledge/internal/resources"
 	"lynxledge/internal/statecache"
 	"lynxledge/wire"
@@ -89,3 +90,50 @@
 		t.Error("a pool that is not offered suits")
 	}
 }
+
+// A machine counts as room for as many tasks as its record can be given: alone, since full records are
+// split, but with the other machines of its group while there are more teams than a split may have
+// preconditions on.
+func TestMachinesCountWithTheRoomOfTheirRecords(t *testing.T) {
+	const smallTask = "req-000002"
+	for _, test := range []struct {
+		name            string
+		machines, tasks int // machines of the group, and tasks on the first of them
+		teams           int
+		first, last     func(maxTasks int) bool // whether the machines' limits are right
+	}{
+		{"empty", 1, 0, 1, atLeast(20), nil},
+		{"some tasks", 1, 20, 1, atLeast(30), nil},
+		{"alone and full", 1, 60, 1, exactly(60), nil},
+		{"beside an empty one", 2, 60, 1, exactly(60), atLeast(20)},
+		{"that can't be split", 2, 60, 9, exactly(60), exactly(planner.NoTasks)},
+	} {
+		cfg := &config.Config{}
+		cfg.Params.Store = config.StoreLimits{MaxValueKB: 1, MaxTxnOps: 8}
+		view := statecache.NewUnfinishedView(8)
+		for team := range test.teams {
+			view.Assignments[wire.TeamName(rune('a'+team))] = &statecache.Assignment{}
+		}
+		view.Apply(statecache.Change{Kind: statecache.KindJob, Name: smallTask, Record: &statecache.Job{TaskCount: 100, Spec: &wire.Job{ID: smallTask, CPUs: 0.01}}})
+		group := statecache.NewMachineGroup(statecache.GroupOptions{Name: "g", MachineType: "s", Zone: "a", Machines: []wire.MachineID{"i-1", "i-2"}[:test.machines], FencingToken: 9})
+		for _, m := range group.Machines {
+			m.Group, m.MachineType, m.Zone, m.Incarnation = "g", "s", "a", 1
+		}
+		for n := range test.tasks {
+			group.Machines[0].Bindings = append(group.Machines[0].Bindings, statecache.TaskBinding{Job: smallTask, TaskIndex: n, Attempt: 9})
+		}
+		view.Apply(statecache.Change{Kind: statecache.KindMachineGroup, Name: "g", Record: group})
+		gatherer := inputGatherer{config: cfg, view: view, jobs: newJobTracker(), machineTypes: &machineCatalog{}}
+		limits := map[wire.MachineID]int{}
+		for _, m := range gatherer.machines(nil) {
+			limits[m.Name] = m.MaxTasks
+		}
+		if !test.first(limits["i-1"]) || test.last != nil && !test.last(limits["i-2"]) {
+			t.Errorf("%s: %v", test.name, limits)
+		}
+	}
+}
+
+func exactly(want int) func(int) bool { return func(got int) bool { return got == want } }
+
+func atLeast(least int) func(int) bool { return func(got int) bool { return got >= least } }
--- a/internal/autoscaler/planning_machines.go
+++ b/internal/autoscaler/planning_machines.go
@@ -27,11 +27,28 @@
 			m.Schedulable = m.Schedulable && !g.machineTypes.isBootOverdue(record, g.now)
 		}
 		m.ReadyInSeconds = max(m.ReadyInSeconds, secondsUntilAdmitted[name])
+		m.MaxTasks = g.maxTasks(record, len(m.Tasks))
 		machines = append(machines, m)
 	}
 	return machines
 }
 
+// maxTasks returns how many tasks a machine that has the given number could have, as far as the
+// record of its group has room for them, or will have once the scheduler has split it. The scheduler
+// doesn't split records while there are more teams than a transaction has writes.
+func (g *inputGatherer) maxTasks(m *statecache.Machine, tasks int) int {
+	store := &g.config.Params.Store
+	maxBytes := int(statecache.BindingFillShare * float64(store.ValueSizeLimit()))
+	room := m.BindingRoom(maxBytes)
+	if group := g.view.Groups[m.Group]; group != nil && len(g.view.Assignments) > store.TxnOpsLimit() {
+		room = group.BindingRoom(maxBytes)
+	}
+	if tasks+room == 0 {
+		return planner.NoTasks
+	}
+	return tasks + room
+}
+
 // runningTasks returns the tasks bound to a machine.
 func (g *inputGatherer) runningTasks(m *statecache.Machine) []planner.RunningTask {
 	var tasks []planner.RunningTask
--- a/internal/autoscaler/replacement.go
+++ b/internal/autoscaler/replacement.go
@@ -65,16 +65,21 @@
 	return zones
 }
 
-// replicaNodes returns the schedulable machines outside lost zones, sorted by name. Only tasks of
+// replicaNodes returns the schedulable machines outside lost zones whose records can have room for a
+// replica, sorted by name. Only tasks of
 // production priority count as used capacity: work of lower priority is preempted for replicas.
 func (a *Autoscaler) replicaNodes() []*placement.Node {
 	types := a.machineTypes.byName()
+	maxBytes := int(statecache.HighPriorityFillShare * float64(a.config.Params.Store.ValueSizeLimit()))
 	nodes := make([]*placement.Node, 0, len(a.view.Machines))
 	for _, name := range slices.Sorted(maps.Keys(a.view.Machines)) {
 		m := a.view.Machines[name]
 		if types[m.MachineType] == nil || !m.Schedulable() || a.zoneRecoveryPolicy.IsLost(a.view.ZoneRecoveries, m.Zone) {
 			continue
 		}
+		if m.BindingRoom(maxBytes) == 0 { // nothing is preempted on it either
+			continue
+		}
 		node := &placement.Node{Name: name, MachineType: types[m.MachineType], Zone: m.Zone, Spot: m.Spot}
 		for i := range m.Bindings {
 			job := a.view.Jobs[m.Bindings[i].Job]
--- a/internal/placement/node.go
+++ b/internal/placement/node.go
@@ -46,6 +46,7 @@
 	Zone        wire.Zone
 	Spot        bool
 	Schedulable bool             // tasks may be bound to it
+	RecordFull  bool             // the store has no room for one more task on it, however its group is split
 	Used        resources.Vector // by the tasks, except those stopped without a grace period
 	Tasks       []RunningTask
 	HasImage    func(image string) bool
@@ -74,9 +75,10 @@
 	return nil
 }
 
-// HasCapacity reports whether tasks may be bound to the node and it has CPUs and memory left.
+// HasCapacity reports whether tasks may be bound to the node, it has CPUs and memory left, and the
+// store has room for one more task on it.
 func (n *Node) HasCapacity() bool {
-	return n.Schedulable && n.hasFreeCapacity()
+	return n.Schedulable && !n.RecordFull && n.hasFreeCapacity()
 }
 
 // hasFreeCapacity reports whether the node has CPUs and memory left.
--- a/internal/planner/existing_test.go
+++ b/internal/planner/existing_test.go
@@ -52,6 +52,7 @@
 			for range rapid.IntRange(0, 3).Draw(t, "held") {
 				m.Tasks = append(m.Tasks, RunningTask{Job: testJob(1, true), RemainingSeconds: float64(rapid.IntRange(0, 100).Draw(t, "left"))})
 			}
+			m.MaxTasks = rapid.SampledFrom([]int{0, 0, NoTasks, len(m.Tasks), len(m.Tasks) + 2}).Draw(t, "max")
 			in.Machines = append(in.Machines, m)
 		}
 		shared, scanned := newCycle(in), newCycle(in)
--- a/internal/planner/input.go
+++ b/internal/planner/input.go
@@ -33,8 +33,12 @@
 	ReadyInSeconds float64 // expected time until it can run tasks, 0 if it can now
 	Tasks          []RunningTask
 	Schedulable    bool // may be assigned tasks, now or once it is ready
+	MaxTasks       int  // number of tasks, including Tasks, that the store has room for; 0: not limited
 }
 
+// NoTasks as a machine's MaxTasks means that the store has room for none.
+const NoTasks = -1
+
 // Input is the state of the cluster and the settings that a planning cycle is computed from.
 type Input struct {
 	MachineTypes []wire.MachineType
--- a/internal/planner/machine_bin.go
+++ b/internal/planner/machine_bin.go
@@ -20,27 +20,34 @@
 // taskEnd is the expected end of a task, which frees its share of the machine.
 type taskEnd struct{ atSeconds, share float64 }
 
-// freeAtSeconds returns the earliest time at which the given share of the machine is free, +Inf
-// if it never is.
+// freeAtSeconds returns the earliest time at which the given share of the machine is free and one
+// more task can be recorded, +Inf if that is never so.
 func (b *machineBin) freeAtSeconds(share float64) float64 {
 	free := 1.0
 	for _, end := range b.taskEnds {
 		free -= end.share
 	}
 	at := b.machine.ReadyInSeconds
+	remaining := len(b.taskEnds)
 	for _, end := range b.taskEnds {
-		if free >= share-resources.RoundingTolerance {
+		if free >= share-resources.RoundingTolerance && b.canRecordBeside(remaining) {
 			break
 		}
 		free += end.share
+		remaining--
 		at = math.Max(at, end.atSeconds)
 	}
-	if free < share-resources.RoundingTolerance {
+	if free < share-resources.RoundingTolerance || !b.canRecordBeside(remaining) {
 		return math.Inf(1)
 	}
 	return at
 }
 
+// canRecordBeside reports whether the store has room for one more task of the machine beside others.
+func (b *machineBin) canRecordBeside(tasks int) bool {
+	return b.machine.MaxTasks == 0 || tasks < b.machine.MaxTasks
+}
+
 // addTask assigns a task to the machine, which takes a share of it until its end.
 func (b *machineBin) addTask(endsAtSeconds, share float64) {
 	i, _ := slices.BinarySearchFunc(b.taskEnds, endsAtSeconds, func(end taskEnd, at float64) int {
--- a/internal/scheduler/node_index.go
+++ b/internal/scheduler/node_index.go
@@ -18,6 +18,7 @@
 // incrementally, so that the cost of one changed machine does not grow with the fleet.
 type nodeIndex struct {
 	view         *statecache.View
+	limits       recordLimits
 	images       *imageCaches
 	machineTypes map[string]*wire.MachineType
 	offers       placement.ZoneOffers
@@ -45,9 +46,10 @@
 }
 
 // newNodeIndex returns an empty index for the machines of a view that has none yet.
-func newNodeIndex(view *statecache.View, images *imageCaches) *nodeIndex {
+func newNodeIndex(view *statecache.View, limits recordLimits, images *imageCaches) *nodeIndex {
 	return &nodeIndex{
 		view:         view,
+		limits:       limits,
 		images:       images,
 		machineTypes: map[string]*wire.MachineType{},
 		byName:       map[wire.MachineID]*indexedNode{},
@@ -190,6 +192,7 @@
 // loadRecord sets a node's fields from a machine's record. It does not update the sums and lists.
 func (x *nodeIndex) loadRecord(n *placement.Node, rec *statecache.Machine) {
 	old := n.Tasks
+	n.RecordFull = rec.BindingRoom(x.limits.valueBytes(statecache.HighPriorityFillShare)) == 0
 	n.Group, n.MachineType, n.Zone, n.Spot, n.Schedulable = rec.Group, x.machineTypes[rec.MachineType], rec.Zone, rec.Spot, rec.Schedulable()
 	n.Used, n.Tasks = resources.Vector{}, make([]placement.RunningTask, 0, len(rec.Bindings))
 	for i := range rec.Bindings {
--- a/internal/scheduler/node_index_test.go
+++ b/internal/scheduler/node_index_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"lynxledge/internal/config"
 	"lynxledge/internal/placement"
 	"lynxledge/internal/resources"
 	"lynxledge/internal/statecache"
@@ -72,7 +73,7 @@
 func TestNodeIndexFollowsMachines(t *testing.T) {
 	view := statecache.NewUnfinishedView(8)
 	view.Jobs["req-000001"] = &statecache.Job{Spec: &wire.Job{ID: "req-000001", Team: "red", Kind: wire.KindService, CPUs: 3, MemoryGB: 1}}
-	x := newNodeIndex(view, newImageCaches())
+	x := newNodeIndex(view, recordLimits{&config.StoreLimits{MaxValueKB: 4}}, newImageCaches())
 	x.setMachineTypes([]wire.MachineType{{Name: "s", CPUs: 4, MemoryGB: 16, Zones: []wire.Zone{"a", "b"}}, {Name: "l", CPUs: 8, MemoryGB: 16, Zones: []wire.Zone{"a"}}})
 	set := func(name wire.MachineID, rec *statecache.Machine) {
 		t.Helper()
@@ -124,7 +125,7 @@
 		name := wire.MachineID(fmt.Sprintf("i-%02d", i))
 		view.Machines[name] = &statecache.Machine{Name: name, MachineType: "s", Zone: "a", Incarnation: 1}
 	}
-	x := newNodeIndex(view, newImageCaches())
+	x := newNodeIndex(view, recordLimits{&config.StoreLimits{MaxValueKB: 4}}, newImageCaches())
 	x.setMachineTypes([]wire.MachineType{{Name: "s", CPUs: 4, Zones: []wire.Zone{"a"}}})
 	if !slices.IsSortedFunc(x.all, func(a, b *placement.Node) int { return strings.Compare(string(a.Name), string(b.Name)) }) {
 		t.Error("nodes are in another order than their machines' names")
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -45,11 +45,11 @@
 func newSchedulingState(cfg *config.Config, incarnation uint64, storeLimits *storelimits.Tracker) schedulingState {
 	workers := cfg.Params.Workers
 	view := statecache.NewUnfinishedView(statecache.ChunkTasks(cfg.Params.Store.MaxValueKB))
+	limits := recordLimits{&cfg.Params.Store}
 	images := newImageCaches()
-	nodes := newNodeIndex(view, images)
+	nodes := newNodeIndex(view, limits, images)
 	runtimes := estimate.NewRuntimeEstimator()
 	backoff := newBackoff(workers)
-	limits := recordLimits{&cfg.Params.Store}
 	return schedulingState{
 		config:              cfg,
 		limits:              limits,
