scheduler: a job may preempt for room in a full record that can't be split

Callers would see: a job of priority production waits for as long as small tasks of a service of lower priority run on a machine with room for it, if the cloud has no other machine. The record of the machine, alone in it, is full.

Cause: preemption looked for CPUs and memory only; with enough of both it stopped nothing, so no binding ever fitted.

Fix: a job that may preempt and finds no node has the cheapest task that it may preempt stopped on such a machine. It is bound in a later write, once that task has ended, since the record has no room for both. One task at a time is stopped on a machine, and none if the rewritten record would be too large.

Test: TestTaskIsStoppedForRoomInARecordOfOneMachine failed without it ('0 tasks are stopped', '0 of 1 tasks are bound').

--- a/internal/placement/victims.go
+++ b/internal/placement/victims.go
@@ -31,33 +31,52 @@
 // the task, so may tasks of any priority that other teams run beyond their guarantees. No others
 // may.
 func FindVictims(job *wire.Job, zones ZoneCounts, offers ZoneOffers, nodes []*Node, quotas Quotas) *Victims {
+	search := newVictimSearch(job, quotas)
+	return search.onNodes(zones, offers, nodes)
+}
+
+// FindOneVictim is FindVictims for nodes that may have capacity for the task already: it returns at
+// least one victim.
+func FindOneVictim(job *wire.Job, zones ZoneCounts, offers ZoneOffers, nodes []*Node, quotas Quotas) *Victims {
+	search := newVictimSearch(job, quotas)
+	search.minVictims = 1
+	return search.onNodes(zones, offers, nodes)
+}
+
+// victimSearch holds what a search for victims has in common on all nodes.
+type victimSearch struct {
+	job        *wire.Job
+	need       resources.Vector
+	guaranteed bool // the job's team is within its guarantee with the task
+	quotas     Quotas
+	minVictims int // even if the task fits without
+}
+
+func newVictimSearch(job *wire.Job, quotas Quotas) victimSearch {
+	need := resources.OfTask(job)
+	return victimSearch{job: job, need: need, guaranteed: quotas.Usage.WithinGuarantee(quotas.TeamQuota(job.Team), need), quotas: quotas}
+}
+
+// onNodes returns the cheapest victims on any of the nodes, or nil if there are none. A node whose
+// score is better by more than 1 is preferred at any cost.
+func (s *victimSearch) onNodes(zones ZoneCounts, offers ZoneOffers, nodes []*Node) *Victims {
 	var best *Victims
 	bestScore := 0.0
-	search := victimSearch{job: job, need: resources.OfTask(job), quotas: quotas}
-	search.guaranteed = quotas.Usage.WithinGuarantee(quotas.TeamQuota(job.Team), search.need)
 	for _, n := range nodes {
-		if !n.AllowedFor(job) || !zones.Allows(job, n.Zone) {
+		if !n.AllowedFor(s.job) || !zones.Allows(s.job, n.Zone) {
 			continue
 		}
-		v := search.onNode(n)
+		v := s.onNode(n)
 		if v == nil {
 			continue
 		}
-		if s := score(job, zones, offers, n); best == nil || s-bestScore < -1 || s-bestScore < 1 && v.Cost < best.Cost {
-			best, bestScore = v, s
+		if score := score(s.job, zones, offers, n); best == nil || score-bestScore < -1 || score-bestScore < 1 && v.Cost < best.Cost {
+			best, bestScore = v, score
 		}
 	}
 	return best
 }
 
-// victimSearch holds what a search for victims has in common on all nodes.
-type victimSearch struct {
-	job        *wire.Job
-	need       resources.Vector
-	guaranteed bool // the job's team is within its guarantee with the task
-	quotas     Quotas
-}
-
 // victimCandidate is a task that may be stopped.
 type victimCandidate struct {
 	index int // into Node.Tasks
@@ -71,7 +90,7 @@
 	used, limit := n.usedWithClaims(s.job), n.capacity()
 	remainingUsage := resources.Usage{}
 	for _, c := range s.candidates(n) {
-		if used.AddScaled(s.need, 1).Fits(limit) {
+		if len(victims.Tasks) >= s.minVictims && used.AddScaled(s.need, 1).Fits(limit) {
 			break
 		}
 		victim := n.Tasks[c.index].Job
--- a/internal/scheduler/job_placement.go
+++ b/internal/scheduler/job_placement.go
@@ -120,6 +120,7 @@
 		node = victims.Node
 	case node == nil:
 		p.requestRecordRoom()
+		p.preemptForRecordRoom()
 		p.recordShortage()
 		return false
 	case p.advice.current == nil && !p.moves.isMoving(p.id) && p.nodes.shouldWaitForBoot(p.spec, node, p.now):
@@ -219,8 +220,7 @@
 		return nil
 	}
 	var victims *placement.Victims
-	entitled := p.spec.Priority >= wire.PriorityHigh || p.usage.WithinGuarantee(p.quota, p.need)
-	if p.mayPreempt && entitled && (node == nil || p.spec.Priority >= wire.PriorityHigh && p.fetchesTooLong(p.spec, node)) {
+	if p.mayStopOthers() && (node == nil || p.spec.Priority >= wire.PriorityHigh && p.fetchesTooLong(p.spec, node)) {
 		nodes := p.victimSearchNodes()
 		if node != nil { // preemption helps only on nodes that have the image
 			nodes = slices.DeleteFunc(slices.Clone(nodes), func(n *placement.Node) bool { return !n.HasImage(p.spec.Image) })
@@ -233,12 +233,22 @@
 	return victims
 }
 
+// mayStopOthers reports whether tasks may be preempted for the job now, depending on the tasks.
+func (p *jobPlacement) mayStopOthers() bool {
+	return p.mayPreempt && (p.spec.Priority >= wire.PriorityHigh || p.usage.WithinGuarantee(p.quota, p.need))
+}
+
+// quotas returns the usage and quotas that a search for victims considers.
+func (p *jobPlacement) quotas() placement.Quotas {
+	return placement.Quotas{Usage: p.usage, TeamQuota: p.teamQuota}
+}
+
 // findVictims returns the tasks to preempt on one of the nodes whose record has room to stop them
 // and bind their successor; nil if there are none. So nothing is stopped for a task that can't be
 // bound, and a full record keeps no task from the other nodes.
 func (p *jobPlacement) findVictims(nodes []*placement.Node) *placement.Victims {
 	for {
-		victims := placement.FindVictims(p.spec, p.zones, p.nodes.offers, nodes, placement.Quotas{Usage: p.usage, TeamQuota: p.teamQuota})
+		victims := placement.FindVictims(p.spec, p.zones, p.nodes.offers, nodes, p.quotas())
 		if victims == nil || p.recordTakes(victims.Node, p.spec, stopBytes*len(victims.Tasks)) {
 			return victims
 		}
--- a/internal/scheduler/record_room.go
+++ b/internal/scheduler/record_room.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 
 	"lynxledge/internal/placement"
 	"lynxledge/internal/statecache"
@@ -88,3 +89,35 @@
 	}
 	return best
 }
+
+// preemptForRecordRoom stops a task that may be preempted for the job on a machine that has capacity for
+// the job but is alone in a full record, which can't be split. The job's task can be bound once the
+// stopped one has ended. One task at a time is stopped on a machine.
+func (p *jobPlacement) preemptForRecordRoom() {
+	if !p.searchesVictims || !p.mayStopOthers() || p.awaitsSplit() {
+		return
+	}
+	nodes := slices.DeleteFunc(slices.Clone(p.victimSearchNodes()), func(n *placement.Node) bool { return !p.isBlockedByRecordAlone(n) })
+	victims := placement.FindOneVictim(p.spec, p.zones, p.nodes.offers, nodes, p.quotas())
+	if victims == nil {
+		return
+	}
+	if update := p.openGroup(victims.Node.Group); update != nil {
+		p.preempt(update, victims, p.spec)
+	}
+}
+
+// isBlockedByRecordAlone reports whether a node could take a task of the job but for its record, which
+// holds no other machine, no task that is being stopped already, and has room to stop one.
+func (p *jobPlacement) isBlockedByRecordAlone(n *placement.Node) bool {
+	group := p.view.Groups[n.Group]
+	if group == nil || len(group.Machines) > 1 || !n.HasCapacityFor(p.spec, p.need) || p.recordTakes(n, p.spec, 0) {
+		return false
+	}
+	if slices.ContainsFunc(n.Tasks, func(task placement.RunningTask) bool { return task.Stopping }) {
+		return false
+	}
+	next := p.view.UpdateGroup(n.Group)
+	next.UpdateMachine(n.Name) // rewritten entries may be longer
+	return max(next.RetainedSize(), p.recordBytes(n.Group, 0))+stopBytes <= p.limits.valueBytes(1)
+}
--- a/internal/scheduler/record_room_test.go
+++ b/internal/scheduler/record_room_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"lynxledge/internal/reconcile"
 	"lynxledge/internal/resources"
 	"lynxledge/internal/simulation"
 	"lynxledge/internal/statecache"
@@ -165,18 +166,80 @@
 	}
 }
 
+// fullGroup returns a group of one machine with as many small tasks as its record has room for.
+func fullGroup(s *Scheduler, firstAttempt uint64) *statecache.MachineGroup {
+	group := idleGroup("a", 1)
+	rec := group.Machines[0]
+	rec.FencingToken = firstAttempt + 1
+	for n := 0; group.RetainedSize()+statecache.BindingBytes(smallTasks) <= s.limits.bindingBytes(wire.PriorityHigh); n++ {
+		rec.Bindings = append(rec.Bindings, statecache.TaskBinding{Job: smallTasks, TaskIndex: n, Attempt: firstAttempt})
+	}
+	return group
+}
+
+// reportStopped hands in a heartbeat of the machine which says that its stopping tasks have ended, and
+// returns how many there are.
+func reportStopped(s *Scheduler, machine wire.MachineID) (stopped int) {
+	var heartbeat *wire.Heartbeat
+	inActor(s, func() {
+		rec := s.view.Machines[machine]
+		heartbeat = &wire.Heartbeat{Machine: machine, Address: "x:1", MachineType: "s", Zone: "a", Incarnation: 1, Sequence: 1, FencingToken: rec.FencingToken}
+		for i := range rec.Bindings {
+			binding := &rec.Bindings[i]
+			task := wire.TaskStatus{Task: binding.TaskID(), Attempt: binding.Attempt, State: wire.TaskRunning}
+			if binding.StopToken > 0 {
+				task.State, task.ExitReason = wire.TaskExited, wire.ReasonStopped
+				stopped++
+			}
+			heartbeat.Tasks = append(heartbeat.Tasks, task)
+		}
+	})
+	s.HandleEvidence(reconcile.Evidence{Heartbeat: heartbeat}, 0)
+	return stopped
+}
+
+// A task of lower priority is stopped, one at a time, where a machine has room for a job but is alone in
+// a full record, and the job is bound once it has ended. Nothing is stopped for a job that may not preempt,
+// nor in a record that a rewrite in a later term would make too large. Guards against jobs that wait for
+// ever for room in a record that can't be split.
+func TestTaskIsStoppedForRoomInARecordOfOneMachine(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		priority wire.Priority
+		term     uint64
+		stops    int
+	}{
+		{"production", wire.PriorityProduction, 1, 1},
+		{"may not preempt", wire.PriorityIdle, 1, 0},
+		{"later term", wire.PriorityProduction, 2, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withScheduler(t, nil, func(cache *statecache.Cache, s *Scheduler) {
+				assignTeam(cache, s)
+				cache.Commit(statecache.Commit{Puts: []statecache.Put{{Key: statecache.TermKey, Record: &statecache.Term{Number: test.term}}}}, func(statecache.Outcome) {})
+				submitTo(cache, wire.Job{ID: smallTasks, Kind: wire.KindService, TaskCount: 300, CPUs: 0.0025})
+				inActor(s, func() { putGroups(cache, fullGroup(s, statecache.FirstToken(1))) })
+				time.Sleep(time.Second)
+				submitTo(cache, wire.Job{ID: largeTasks, Kind: wire.KindArray, Priority: test.priority, TaskCount: 1, CPUs: 3})
+				time.Sleep(20 * time.Second)
+				if stops := reportStopped(s, "i-a000"); stops != test.stops {
+					t.Errorf("%d tasks are stopped", stops)
+				}
+				time.Sleep(10 * time.Second)
+				inActor(s, func() {
+					if bound := len(s.view.Bindings[largeTasks]); bound != test.stops {
+						t.Errorf("%d of 1 tasks are bound", bound)
+					}
+				})
+			})
+		})
+	}
+}
+
 // A machine alone in its record, which small tasks have filled, keeps a job neither from other machines
 // nor from preempting tasks there, and its record isn't written again and again. Guards against jobs
 // that try the same full record in every cycle.
 func TestFullRecordOfOneMachineHoldsUpNoJob(t *testing.T) {
-	full := func(s *Scheduler) *statecache.MachineGroup {
-		group := idleGroup("a", 1)
-		for n := 0; group.RetainedSize()+statecache.BindingBytes(smallTasks) <= s.limits.valueBytes(statecache.HighPriorityFillShare); n++ {
-			rec := group.Machines[0]
-			rec.Bindings = append(rec.Bindings, statecache.TaskBinding{Job: smallTasks, TaskIndex: n, Attempt: 1})
-		}
-		return group
-	}
 	for _, other := range []struct {
 		name string
 		cpus float64 // of the tasks on the other machine
@@ -190,7 +253,7 @@
 					submitTo(cache, wire.Job{ID: "req-000004", Kind: wire.KindArray, TaskCount: 1, CPUs: other.cpus})
 					group.Machines[0].Bindings = []statecache.TaskBinding{{Job: "req-000004", Attempt: 1}}
 				}
-				inActor(s, func() { putGroups(cache, full(s), group) })
+				inActor(s, func() { putGroups(cache, fullGroup(s, 1), group) })
 				submitTo(cache, wire.Job{ID: largeTasks, Kind: wire.KindArray, Priority: wire.PriorityProduction, TaskCount: 1, CPUs: 3})
 				time.Sleep(20 * time.Second)
 				counter := countWrites(store)
