scheduler: check a record's room for the node that is picked, not for every candidate

Change: the best node is checked; if its group is full, the group's nodes leave the sample and the next best is picked. The same for moves of replicas.

--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -64,10 +64,9 @@
 }
 
 // canHost reports whether a node could take a task of a job, regardless of the zones of the job's
-// other tasks.
+// other tasks and of the room in its group's record.
 func (c *cycle) canHost(n *placement.Node, job *wire.Job) bool {
-	return n.HasCapacity() && !c.backoff.avoids(n.Name, c.now) && n.AllowedFor(job) && n.HasCapacityFor(job, resources.OfTask(job)) &&
-		c.recordTakes(n, job, 0)
+	return n.HasCapacity() && !c.backoff.avoids(n.Name, c.now) && n.AllowedFor(job) && n.HasCapacityFor(job, resources.OfTask(job))
 }
 
 // preferredNodes returns the nodes that the advice prefers for a service, and the target node of
--- a/internal/scheduler/job_placement.go
+++ b/internal/scheduler/job_placement.go
@@ -159,21 +159,28 @@
 // pickNode returns a node with capacity for a task, or nil. It tries the current sample, a new one,
 // all nodes if the job may search them, then the fallback nodes.
 func (p *jobPlacement) pickNode() *placement.Node {
-	node := placement.PickNode(p.spec, p.zones, p.nodes.offers, p.sample)
+	node := p.pickFromSample()
 	if node == nil && p.placedSinceSample > 0 {
 		p.drawSample()
-		node = placement.PickNode(p.spec, p.zones, p.nodes.offers, p.sample)
+		node = p.pickFromSample()
 	}
 	if node == nil && p.searchesAllNodes() {
 		p.sample, p.placedSinceSample = p.withoutFailed(p.allCandidates()), 0
-		node = placement.PickNode(p.spec, p.zones, p.nodes.offers, p.sample)
+		node = p.pickFromSample()
 	}
 	if node == nil {
-		node = placement.PickNode(p.spec, p.zones, p.nodes.offers, p.fallbackNodes(p.spec))
+		node, _ = p.pickWithRecordRoom(p.fallbackNodes(p.spec))
 	}
 	return node
 }
 
+// pickFromSample returns the best node of the sample that can take a task, or nil.
+func (p *jobPlacement) pickFromSample() *placement.Node {
+	node, rest := p.pickWithRecordRoom(p.sample)
+	p.sample = rest
+	return node
+}
+
 const (
 	// maxFullSearches is how many of the queued jobs on average may search all nodes with capacity
 	// in a cycle. They are drawn at random in each cycle.
@@ -249,10 +256,13 @@
 func (p *jobPlacement) findVictims(nodes []*placement.Node) *placement.Victims {
 	for {
 		victims := placement.FindVictims(p.spec, p.zones, p.nodes.offers, nodes, p.quotas())
-		if victims == nil || p.recordTakes(victims.Node, p.spec, stopBytes*len(victims.Tasks)) {
+		if victims == nil || p.recordTakes(victims.Node, stopBytes*len(victims.Tasks)) {
 			return victims
 		}
-		nodes = slices.DeleteFunc(slices.Clone(nodes), func(n *placement.Node) bool { return n == victims.Node })
+		isFull := !p.recordTakes(victims.Node, stopBytes) // for any number of victims
+		nodes = slices.DeleteFunc(slices.Clone(nodes), func(n *placement.Node) bool {
+			return n == victims.Node || isFull && n.Group == victims.Node.Group
+		})
 	}
 }
 
--- a/internal/scheduler/record_room.go
+++ b/internal/scheduler/record_room.go
@@ -6,7 +6,6 @@
 
 	"lynxledge/internal/placement"
 	"lynxledge/internal/statecache"
-	"lynxledge/wire"
 )
 
 // fullRecords holds what a cycle knows of records that have no room for bindings.
@@ -19,17 +18,30 @@
 	return fullRecords{nextBytes: map[string]int{}, blocking: map[string]bool{}}
 }
 
-// recordTakes reports whether the record of a node's group has room for one more binding of a job
+// recordTakes reports whether the record of a node's group has room for one more binding of the job
 // and moreBytes besides. If not, it remembers that the group blocks the job.
-func (c *cycle) recordTakes(n *placement.Node, job *wire.Job, moreBytes int) bool {
-	maxBytes := c.limits.bindingBytes(job.Priority) - moreBytes - statecache.BindingBytes(job.ID)
-	if c.recordBytes(n.Group, maxBytes) <= maxBytes {
+func (p *jobPlacement) recordTakes(n *placement.Node, moreBytes int) bool {
+	maxBytes := p.limits.bindingBytes(p.spec.Priority) - moreBytes - statecache.BindingBytes(p.id)
+	if p.recordBytes(n.Group, maxBytes) <= maxBytes {
 		return true
 	}
-	c.fullRecords.blocking[n.Group] = true
+	p.fullRecords.blocking[n.Group] = true
 	return false
 }
 
+// pickWithRecordRoom returns the best of the nodes that can take a task of the job and whose group's
+// record has room for its binding, or nil. It also returns the nodes without those of groups that it
+// found to be full.
+func (p *jobPlacement) pickWithRecordRoom(nodes []*placement.Node) (best *placement.Node, rest []*placement.Node) {
+	for {
+		best = placement.PickNode(p.spec, p.zones, p.nodes.offers, nodes)
+		if best == nil || p.recordTakes(best, 0) {
+			return best, nodes
+		}
+		nodes = slices.DeleteFunc(nodes, func(n *placement.Node) bool { return n.Group == best.Group })
+	}
+}
+
 // recordBytes returns an upper bound on the size of a group's next record. It is exact only if it
 // exceeds maxBytes: completions of jobs that have ended count towards the present record alone.
 func (c *cycle) recordBytes(group string, maxBytes int) int {
@@ -97,7 +109,12 @@
 	if !p.searchesVictims || !p.mayStopOthers() || p.awaitsSplit() {
 		return
 	}
-	nodes := slices.DeleteFunc(slices.Clone(p.victimSearchNodes()), func(n *placement.Node) bool { return !p.isBlockedByRecordAlone(n) })
+	var nodes []*placement.Node
+	for _, n := range p.victimSearchNodes() {
+		if p.isBlockedByRecordAlone(n) {
+			nodes = append(nodes, n)
+		}
+	}
 	victims := placement.FindOneVictim(p.spec, p.zones, p.nodes.offers, nodes, p.quotas())
 	if victims == nil {
 		return
@@ -110,8 +127,11 @@
 // isBlockedByRecordAlone reports whether a node could take a task of the job but for its record, which
 // holds no other machine, no task that is being stopped already, and has room to stop one.
 func (p *jobPlacement) isBlockedByRecordAlone(n *placement.Node) bool {
+	if !n.RecordFull && !p.fullRecords.blocking[n.Group] || !n.HasCapacityFor(p.spec, p.need) {
+		return false
+	}
 	group := p.view.Groups[n.Group]
-	if group == nil || len(group.Machines) > 1 || !n.HasCapacityFor(p.spec, p.need) || p.recordTakes(n, p.spec, 0) {
+	if group == nil || len(group.Machines) > 1 || p.recordTakes(n, 0) {
 		return false
 	}
 	if slices.ContainsFunc(n.Tasks, func(task placement.RunningTask) bool { return task.Stopping }) {
--- a/internal/scheduler/record_room_test.go
+++ b/internal/scheduler/record_room_test.go
@@ -218,6 +218,7 @@
 				assignTeam(cache, s)
 				cache.Commit(statecache.Commit{Puts: []statecache.Put{{Key: statecache.TermKey, Record: &statecache.Term{Number: test.term}}}}, func(statecache.Outcome) {})
 				submitTo(cache, wire.Job{ID: smallTasks, Kind: wire.KindService, TaskCount: 300, CPUs: 0.0025})
+				time.Sleep(time.Second) // a job is known before its tasks are bound
 				inActor(s, func() { putGroups(cache, fullGroup(s, statecache.FirstToken(1))) })
 				time.Sleep(time.Second)
 				submitTo(cache, wire.Job{ID: largeTasks, Kind: wire.KindArray, Priority: test.priority, TaskCount: 1, CPUs: 3})
@@ -253,6 +254,7 @@
 					submitTo(cache, wire.Job{ID: "req-000004", Kind: wire.KindArray, TaskCount: 1, CPUs: other.cpus})
 					group.Machines[0].Bindings = []statecache.TaskBinding{{Job: "req-000004", Attempt: 1}}
 				}
+				time.Sleep(time.Second) // jobs are known before their tasks are bound
 				inActor(s, func() { putGroups(cache, fullGroup(s, 1), group) })
 				submitTo(cache, wire.Job{ID: largeTasks, Kind: wire.KindArray, Priority: wire.PriorityProduction, TaskCount: 1, CPUs: 3})
 				time.Sleep(20 * time.Second)
--- a/internal/scheduler/replica_moves.go
+++ b/internal/scheduler/replica_moves.go
@@ -96,8 +96,7 @@
 }
 
 // moveNodes returns the nodes to move a replica from or to so that the job gets capacity: the nodes
-// to search for victims and a sample of those with capacity, if their records have room to stop the
-// replica and for a binding.
+// to search for victims and a sample of those with capacity.
 func (p *jobPlacement) moveNodes() []*placement.Node {
 	list := slices.Clone(p.victimSearchNodes())
 	listed := make(map[*placement.Node]bool, len(list))
@@ -109,7 +108,6 @@
 			list = append(list, n)
 		}
 	}
-	list = slices.DeleteFunc(list, func(n *placement.Node) bool { return !p.recordTakes(n, p.spec, stopBytes) })
 	sortByOrdinal(list)
 	p.updateVictimFacts(list)
 	return list
@@ -118,14 +116,14 @@
 // anyNodeFits reports whether any node has capacity for a task of the job. Such a node may have been
 // missed by the samples, or its group may not be in a transaction that is full.
 func (p *jobPlacement) anyNodeFits() bool {
-	return slices.ContainsFunc(p.nodes.withCapacity, p.fits)
+	return slices.ContainsFunc(p.nodes.withCapacity, func(n *placement.Node) bool { return p.fits(n) && p.recordTakes(n, 0) })
 }
 
 // findReplicaToMove returns a replica whose move to another node frees capacity for a task of the
 // job. It returns nil if there is none, if a node has capacity without a move, or if the job has
 // been short of a node for less time than the target takes to fetch the replica's image.
 func (p *jobPlacement) findReplicaToMove() *placement.Victims {
-	victims := placement.FindReplicaToMove(p.spec, p.zones, p.moveNodes())
+	victims := p.findMoveWithRecordRoom(p.moveNodes())
 	if victims == nil {
 		return nil
 	}
@@ -138,6 +136,24 @@
 	return victims
 }
 
+// findMoveWithRecordRoom returns a replica on one of the nodes to move to another, in whose groups'
+// records there is room to stop the replica, bind the task of the job and bind the replica again; nil if
+// there is none.
+func (p *jobPlacement) findMoveWithRecordRoom(nodes []*placement.Node) *placement.Victims {
+	for {
+		victims := placement.FindReplicaToMove(p.spec, p.zones, nodes)
+		if victims == nil || p.recordTakes(victims.Node, stopBytes) && p.recordTakes(victims.Target, 0) {
+			return victims
+		}
+		victims.ReleaseClaim()
+		full := victims.Target
+		if !p.recordTakes(victims.Node, stopBytes) {
+			full = victims.Node
+		}
+		nodes = slices.DeleteFunc(slices.Clone(nodes), func(n *placement.Node) bool { return n.Group == full.Group })
+	}
+}
+
 // replicaSet returns the data on a service that the search for victims needs, gathered once a cycle.
 func (c *cycle) replicaSet(service *statecache.Job) *placement.ReplicaSet {
 	id := service.Spec.ID
