scheduler: preemption waits only for a split that the next cycle makes

A group may block a job because its record has no room for many stops, while it is too small to be split: preemption elsewhere must not wait for that. With more teams than a split may require, records of several machines stay as they are, so a job that may preempt does so there, too.

Change: only records above the size that openFullGroups splits are waited for. The search of all nodes leaves out those with full records, and 'service short of replicas' counts them as unavailable, not as free.

--- a/internal/placement/obstacles.go
+++ b/internal/placement/obstacles.go
@@ -8,7 +8,7 @@
 // Obstacles counts nodes by the reason why they cannot take a task.
 type Obstacles struct {
 	NotAllowed      int // excluded by the job's machine types, zone or lack of AllowSpot
-	Unavailable     int // unschedulable, avoided after failures, or not admitted while zones recover
+	Unavailable     int // unschedulable, avoided after failures, not admitted while zones recover, or with a full record
 	ZoneExcluded    int // excluded by the zones of the job's other tasks
 	Full            int // without capacity for the task
 	Free            int // none: the node can take the task now
--- a/internal/scheduler/group_layout.go
+++ b/internal/scheduler/group_layout.go
@@ -36,6 +36,11 @@
 	}
 }
 
+// isFull reports whether a group's record is large enough to be split for more bindings.
+func (l *groupLayout) isFull(name string) bool {
+	return l.bytes[name] > l.limits.valueBytes(fullSplitFillShare)
+}
+
 // openOversizedGroups adds the groups to be split to the transaction, as far as it has room: those
 // whose records are, or may become, too large to be written, by growth or because the limit of a
 // value has been lowered.
@@ -83,7 +88,7 @@
 			return // left to a later cycle
 		}
 		delete(c.layout.full, name) // marked again if it is still full when a job needs room
-		if c.layout.bytes[name] <= c.limits.valueBytes(fullSplitFillShare) || c.groupUpdates[name] != nil {
+		if !c.layout.isFull(name) || c.groupUpdates[name] != nil {
 			continue
 		}
 		switch group := c.view.Groups[name]; {
--- a/internal/scheduler/job_placement.go
+++ b/internal/scheduler/job_placement.go
@@ -194,7 +194,7 @@
 func (p *jobPlacement) allCandidates() []*placement.Node {
 	var list []*placement.Node
 	for _, n := range p.nodes.withCapacity {
-		if p.fits(n) {
+		if p.fits(n) && p.recordTakes(n, 0) {
 			n.NeedsOwnWrite = p.groupUpdates[n.Group] == nil
 			list = append(list, n)
 		}
--- a/internal/scheduler/record_room.go
+++ b/internal/scheduler/record_room.go
@@ -86,13 +86,13 @@
 	return group != nil && len(group.Machines) > 1 && p.ownsAllTeams()
 }
 
-// recordToRelieve returns the group with the most machines among those that block the job and can be
-// relieved; nil if there is none.
+// recordToRelieve returns the group with the most machines among those that block the job and that
+// openFullGroups relieves; nil if there is none.
 func (p *jobPlacement) recordToRelieve() *statecache.MachineGroup {
 	var best *statecache.MachineGroup
 	for name := range p.fullRecords.blocking {
 		group := p.view.Groups[name]
-		if group == nil || len(group.Machines) < 2 && len(group.Completions) == 0 {
+		if group == nil || !p.layout.isFull(name) || len(group.Machines) < 2 && len(group.Completions) == 0 {
 			continue
 		}
 		if best == nil || len(group.Machines) > len(best.Machines) || len(group.Machines) == len(best.Machines) && name < best.Name {
@@ -103,7 +103,7 @@
 }
 
 // preemptForRecordRoom stops a task that may be preempted for the job on a machine that has capacity for
-// the job but is alone in a full record, which can't be split. The job's task can be bound once the
+// the job but whose full record can't be split. The job's task can be bound once the
 // stopped one has ended. One task at a time is stopped on a machine.
 func (p *jobPlacement) preemptForRecordRoom() {
 	if !p.searchesVictims || !p.mayStopOthers() || p.awaitsSplit() {
@@ -111,7 +111,7 @@
 	}
 	var nodes []*placement.Node
 	for _, n := range p.victimSearchNodes() {
-		if p.isBlockedByRecordAlone(n) {
+		if p.isBlockedForGood(n) {
 			nodes = append(nodes, n)
 		}
 	}
@@ -124,14 +124,14 @@
 	}
 }
 
-// isBlockedByRecordAlone reports whether a node could take a task of the job but for its record, which
-// holds no other machine, no task that is being stopped already, and has room to stop one.
-func (p *jobPlacement) isBlockedByRecordAlone(n *placement.Node) bool {
+// isBlockedForGood reports whether a node could take a task of the job but for its record, which can't be
+// split and has room to stop a task, and none of its tasks is being stopped.
+func (p *jobPlacement) isBlockedForGood(n *placement.Node) bool {
 	if !n.RecordFull && !p.fullRecords.blocking[n.Group] || !n.HasCapacityFor(p.spec, p.need) {
 		return false
 	}
 	group := p.view.Groups[n.Group]
-	if group == nil || len(group.Machines) > 1 || p.recordTakes(n, 0) {
+	if group == nil || len(group.Machines) > 1 && p.mayMoveMachines() || p.recordTakes(n, 0) {
 		return false
 	}
 	if slices.ContainsFunc(n.Tasks, func(task placement.RunningTask) bool { return task.Stopping }) {
--- a/internal/scheduler/shortages.go
+++ b/internal/scheduler/shortages.go
@@ -70,7 +70,8 @@
 	}
 	p.updateVictimFacts(p.nodes.all)
 	found := placement.FindObstacles(p.spec, p.zones, p.nodes.all, func(n *placement.Node) bool {
-		return n.Schedulable && !p.backoff.avoids(n.Name, p.now) && p.advice.admits(n, p.spec)
+		return n.Schedulable && !p.backoff.avoids(n.Name, p.now) && p.advice.admits(n, p.spec) &&
+			(!n.HasCapacityFor(p.spec, p.need) || p.recordTakes(n, 0))
 	})
 	slog.Info("service short of replicas",
 		"job", p.id,
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -177,7 +177,13 @@
 // move, with the moved machines' bindings.
 func (s *schedulingState) ownsAllTeams() bool {
 	assignments := len(s.view.Assignments)
-	return assignments > 0 && assignments <= s.limits.txnOps() && len(s.ownAssignments()) == assignments
+	return assignments > 0 && s.mayMoveMachines() && len(s.ownAssignments()) == assignments
+}
+
+// mayMoveMachines reports whether a transaction has room for preconditions on all assignments, so that
+// a process that all teams are assigned to may move machines between group records.
+func (s *schedulingState) mayMoveMachines() bool {
+	return len(s.view.Assignments) <= s.limits.txnOps()
 }
 
 // teamQuota returns a team's configured quota, or a zero quota for an unknown team.
