Tests of splits of full records: preconditions, adopted keys, merges, generated faults

Change: TestHalvingRequiresAllThatItRestsOn (the record, the absence of the new one, all assignments; an adopted key stays with its machine; fully used halves aren't merged), TestInvariantsWithFullRecords (the whole program, 12 seeded sequences of generated faults while records fill up).

--- a/cmd/lynxledge/full_records_test.go
+++ b/cmd/lynxledge/full_records_test.go
@@ -19,16 +19,14 @@
 	p.Teams = []config.TeamQuota{{Name: "red"}, {Name: "blue"}}
 }
 
-// fillRecords runs large tasks, and then, on the machines rented for them, small and long tasks of
-// another team.
-func (c *cluster) fillRecords() (small *wire.Job) {
+// submitForRecord submits large tasks, for which machines with a common record are rented, and once these
+// are up small and long tasks of another team, which run on them next and fill the record.
+func (c *cluster) submitForRecord(runtime time.Duration) (small *wire.Job) {
 	onLargeMachines := func(j *wire.Job) { j.MachineTypes, j.AllowSpot = []string{"l"}, false }
 	deadline := wire.Seconds(60)
 	c.submitArray(c.nextJobID(), "blue", 10, 30*time.Second, func(j *wire.Job) { j.CPUs, j.Deadline = 8, &deadline; onLargeMachines(j) })
 	c.advance(45 * time.Second)
-	small = c.submitArray(c.nextJobID(), "red", 120, 10*time.Minute, func(j *wire.Job) { j.CPUs, j.Priority = 0.5, wire.PriorityIdle; onLargeMachines(j) })
-	c.advance(30 * time.Second)
-	return small
+	return c.submitArray(c.nextJobID(), "red", 120, runtime, func(j *wire.Job) { j.CPUs, j.Priority = 0.5, wire.PriorityIdle; onLargeMachines(j) })
 }
 
 // isSplit reports whether a transaction splits a group's record.
@@ -54,6 +52,40 @@
 	return done.Load
 }
 
+// Generated faults strike while records are full, are split, and are merged again as the small tasks end: no
+// invariant is violated, and all work finishes. Guards against tasks that start twice or are lost as
+// their machines are moved between records.
+func TestInvariantsWithFullRecords(t *testing.T) {
+	splits := 0
+	for seed := range 12 {
+		withCluster(t, uint64(seed), smallCluster, smallValues, func(t *testing.T, c *cluster) {
+			var split atomic.Int64
+			c.store.InterceptCommits(func(_ string, txn *wire.Txn, execute func() (uint64, error)) (uint64, error) {
+				if isSplit(txn) {
+					split.Add(1)
+				}
+				return execute()
+			})
+			c.advance(5 * time.Second)
+			for i, f := range genFaults().Example(seed) {
+				if i%20 == 0 {
+					c.submitForRecord(time.Minute)
+				}
+				c.inject(f)
+			}
+			c.healAndFinish()
+			for _, violation := range c.violations() {
+				t.Errorf("seed %d: %s", seed, violation)
+			}
+			splits += int(split.Load())
+		})
+	}
+	if splits == 0 {
+		t.Error("no record was split")
+	}
+	t.Logf("%d attempts to split a record", splits)
+}
+
 // A job starts beside machines with room although the common record of their groups is filled by small
 // tasks, whatever fails while the records are full or split; the small tasks run, too, and none
 // twice. Guards against work that waits for ever beside empty machines because their record has no
@@ -109,7 +141,8 @@
 					if trouble.before != nil {
 						trouble.before(t, c)
 					}
-					small := c.fillRecords()
+					small := c.submitForRecord(10 * time.Minute)
+					c.advance(30 * time.Second)
 					if trouble.after != nil {
 						trouble.after(t, c)
 						c.advance(10 * time.Second)
--- a/internal/scheduler/group_layout_test.go
+++ b/internal/scheduler/group_layout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -143,3 +144,71 @@
 		t.Error("full though it was deleted")
 	}
 }
+
+// The transaction that splits a full record in half requires the record as it was seen, the absence of the
+// new one, and all assignments as they are, also those of teams whose tasks it doesn't bind. An adopted
+// group's key stays with the machine that it was made for, and a merge does not undo the split. Guards
+// against tasks that start twice because a machine is moved unseen, or by a late copy.
+func TestHalvingRequiresAllThatItRestsOn(t *testing.T) {
+	adopted := statecache.AdoptedGroupName("i-a000")
+	withScheduler(t, nil, func(cache *statecache.Cache, s *Scheduler) {
+		assignTeam(cache, s)
+		cache.Commit(statecache.Commit{Puts: []statecache.Put{
+			{Key: statecache.Key(statecache.KindAssignment, "blue"), Record: &statecache.Assignment{Member: "n0", Incarnation: s.incarnation}},
+		}}, func(statecache.Outcome) {})
+		submitTo(cache, wire.Job{ID: smallTasks, Kind: wire.KindService, TaskCount: 1000, CPUs: 0.5})
+		time.Sleep(time.Second)
+		group := idleGroup("a", 25)
+		group.Name = adopted
+		for i, rec := range group.Machines {
+			for n := range 8 {
+				rec.Bindings = append(rec.Bindings, statecache.TaskBinding{Job: smallTasks, TaskIndex: 8*i + n, Attempt: 1})
+			}
+		}
+		putGroups(cache, group)
+		time.Sleep(time.Second)
+		inActor(s, func() {
+			s.layout.full[adopted] = true
+			c := s.newCycle(time.Now(), 2, s.nodes.usage)
+			c.openFullGroups()
+			var commit statecache.Commit
+			if !c.addTo(&commit) || len(commit.Puts) != 2 || len(commit.Deletes) != 0 {
+				t.Fatalf("%d records written, %d deleted", len(commit.Puts), len(commit.Deletes))
+			}
+			required := map[string]uint64{}
+			for _, precondition := range commit.Preconditions {
+				required[precondition.Key] = precondition.ModRevision
+			}
+			want := map[string]uint64{
+				commit.Puts[0].Key: 0,
+				statecache.Key(statecache.KindMachineGroup, adopted): s.view.Groups[adopted].ModRevision,
+				statecache.Key(statecache.KindAssignment, "red"):     s.view.Assignments["red"].ModRevision,
+				statecache.Key(statecache.KindAssignment, "blue"):    s.view.Assignments["blue"].ModRevision,
+			}
+			if !maps.Equal(required, want) {
+				t.Errorf("requires %v, want %v", required, want)
+			}
+			kept := commit.Puts[1].Record.(*statecache.MachineGroup)
+			if kept.Name != adopted || kept.Machines[0].Name != "i-a000" {
+				t.Errorf("%s keeps %s", kept.Name, kept.Machines[0].Name)
+			}
+			s.layout.full[adopted] = true
+			s.schedule()
+		})
+		time.Sleep(2 * time.Second)
+		inActor(s, func() {
+			if len(s.view.Groups) != 2 {
+				t.Fatalf("%d groups", len(s.view.Groups))
+			}
+			c := s.newCycle(time.Now(), 8, s.nodes.usage)
+			for name := range s.view.Groups {
+				if update := c.openGroup(name); !c.fullyUsed(update) {
+					t.Errorf("%s has capacity: it would not be merged anyway", name)
+				}
+			}
+			if c.mergeGroups(&statecache.Commit{}); len(c.groupUpdates) != 2 {
+				t.Error("the halves are merged again")
+			}
+		})
+	})
+}
