--- a/cmd/lynxledge/full_records_test.go
+++ b/cmd/lynxledge/full_records_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -29,15 +30,13 @@
 	return c.submitArray(c.nextJobID(), "red", 120, runtime, func(j *wire.Job) { j.CPUs, j.Priority = 0.5, wire.PriorityIdle; onLargeMachines(j) })
 }
 
-// isSplit reports whether a transaction splits a group's record.
+// isSplit reports whether a transaction splits a group's record: it requires that the record of a part is
+// new.
 func isSplit(txn *wire.Txn) bool {
 	prefix := statecache.Key(statecache.KindMachineGroup, "s.")
-	for _, write := range txn.Writes {
-		if strings.HasPrefix(write.PutKey, prefix) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(txn.Preconditions, func(p wire.Precondition) bool {
+		return p.ModRevision == 0 && strings.HasPrefix(p.Key, prefix)
+	})
 }
 
 // interceptFirstSplit handles the first attempt to split a record in place of the store.
