--- a/cmd/lynxledge/full_records_measure_test.go
+++ b/cmd/lynxledge/full_records_measure_test.go
@@ -6,7 +6,6 @@
 	"context"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,15 +16,6 @@
 	"lynxledge/wire"
 )
 
-// processorSeconds returns the processor time that this process has used, in seconds.
-func processorSeconds() float64 {
-	var usage syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds()
-}
-
 // groupCount returns the number of groups that a dump of the store lists.
 func groupCount(dump string) int {
 	return strings.Count(dump, "\n"+statecache.Key(statecache.KindMachineGroup, ""))
@@ -55,7 +45,7 @@
 		writes.Add(int64(len(txn.Writes)))
 		return execute()
 	})
-	cpuBefore, startedAt := processorSeconds(), time.Now()
+	cpuBefore, startedAt := processCPUTime(), time.Now()
 	r.advance(5 * time.Second)
 	r.submitInitialWork()
 	for range 4 {
@@ -73,7 +63,7 @@
 		}
 	}
 	t.Logf("%s, %d guest tasks: %.1f writes a second of %v, %.0f s of processor time, %d groups, %d of %d jobs started, %d machines",
-		name, 4*guestTasks, float64(writes.Load())/time.Since(startedAt).Seconds(), limits.WriteRate, processorSeconds()-cpuBefore,
+		name, 4*guestTasks, float64(writes.Load())/time.Since(startedAt).Seconds(), limits.WriteRate, (processCPUTime() - cpuBefore).Seconds(),
 		groupCount(r.store.Dump()), started, len(r.submitted), r.peakMachines)
 	for _, violation := range append(r.invariants.Violations(), r.store.Violations()...) {
 		t.Error(violation)
