--- a/cmd/lynxledge/fleet_test.go
+++ b/cmd/lynxledge/fleet_test.go
@@ -118,16 +118,22 @@
 	peakMachines int         // most machines running at once
 }
 
-// run submits work for every machine. Then more than half of the controllers crash, the store has
-// an outage, many machines fail at once, and a zone is partitioned if the fleet names one.
-func (f *fleet) run(t *testing.T) {
-	ctx, cancel := context.WithCancel(context.Background())
+// start starts the fleet's controllers with two teams, and a store that keeps to its limits.
+func (f *fleet) start(ctx context.Context) *fleetRun {
 	r := &fleetRun{fleet: f, cluster: newCluster(ctx, 1, f.clusterSpec, func(p *config.Params) {
 		f.adjust(p)
 		p.Teams = []config.TeamQuota{{Name: "red", GuaranteedCPUs: 2000}, {Name: "blue", GuaranteedCPUs: 2000}}
 	})}
 	limits := r.cfg.Params.Store
 	r.store.SetLimits(simulation.StoreLimits{WriteRate: limits.WriteRate, MaxValueKB: limits.MaxValueKB, MaxTxnOps: limits.MaxTxnOps, MaxWatchEvents: 500})
+	return r
+}
+
+// run submits work for every machine. Then more than half of the controllers crash, the store has
+// an outage, many machines fail at once, and a zone is partitioned if the fleet names one.
+func (f *fleet) run(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := f.start(ctx)
 	r.advance(5 * time.Second)
 	r.submitInitialWork()
 	r.crashMostMembers()
--- a/cmd/lynxledge/full_records_measure_test.go
+++ b/cmd/lynxledge/full_records_measure_test.go
@@ -10,8 +10,6 @@
 	"testing/synctest"
 	"time"
 
-	"lynxledge/internal/config"
-	"lynxledge/internal/simulation"
 	"lynxledge/internal/statecache"
 	"lynxledge/wire"
 )
@@ -34,12 +32,7 @@
 
 func measureFullRecords(t *testing.T, name string, f *fleet, guestTasks int) {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &fleetRun{fleet: f, cluster: newCluster(ctx, 1, f.clusterSpec, func(p *config.Params) {
-		f.adjust(p)
-		p.Teams = []config.TeamQuota{{Name: "red", GuaranteedCPUs: 2000}, {Name: "blue", GuaranteedCPUs: 2000}}
-	})}
-	limits := r.cfg.Params.Store
-	r.store.SetLimits(simulation.StoreLimits{WriteRate: limits.WriteRate, MaxValueKB: limits.MaxValueKB, MaxTxnOps: limits.MaxTxnOps, MaxWatchEvents: 500})
+	r := f.start(ctx)
 	var writes atomic.Int64
 	r.store.InterceptCommits(func(_ string, txn *wire.Txn, execute func() (uint64, error)) (uint64, error) {
 		writes.Add(int64(len(txn.Writes)))
@@ -63,7 +56,7 @@
 		}
 	}
 	t.Logf("%s, %d guest tasks: %.1f writes a second of %v, %.0f s of processor time, %d groups, %d of %d jobs started, %d machines",
-		name, 4*guestTasks, float64(writes.Load())/time.Since(startedAt).Seconds(), limits.WriteRate, (processCPUTime() - cpuBefore).Seconds(),
+		name, 4*guestTasks, float64(writes.Load())/time.Since(startedAt).Seconds(), r.cfg.Params.Store.WriteRate, (processCPUTime() - cpuBefore).Seconds(),
 		groupCount(r.store.Dump()), started, len(r.submitted), r.peakMachines)
 	for _, violation := range append(r.invariants.Violations(), r.store.Violations()...) {
 		t.Error(violation)
--- a/internal/autoscaler/replacement.go
+++ b/internal/autoscaler/replacement.go
@@ -65,9 +65,9 @@
 	return zones
 }
 
-// replicaNodes returns the schedulable machines outside lost zones whose records can have room for a
-// replica, sorted by name. Only tasks of
-// production priority count as used capacity: work of lower priority is preempted for replicas.
+// replicaNodes returns the schedulable machines outside lost zones whose records can have room for
+// a replica, sorted by name. Only tasks of production priority count as used capacity: work of
+// lower priority is preempted for replicas.
 func (a *Autoscaler) replicaNodes() []*placement.Node {
 	types := a.machineTypes.byName()
 	maxBytes := int(statecache.HighPriorityFillShare * float64(a.config.Params.Store.ValueSizeLimit()))
@@ -77,7 +77,7 @@
 		if types[m.MachineType] == nil || !m.Schedulable() || a.zoneRecoveryPolicy.IsLost(a.view.ZoneRecoveries, m.Zone) {
 			continue
 		}
-		if m.BindingRoom(maxBytes) == 0 { // nothing is preempted on it either
+		if m.BindingRoom(maxBytes) == 0 { // a replica would wait until a task there has ended
 			continue
 		}
 		node := &placement.Node{Name: name, MachineType: types[m.MachineType], Zone: m.Zone, Spot: m.Spot}
--- a/internal/placement/victims.go
+++ b/internal/placement/victims.go
@@ -70,8 +70,8 @@
 		if v == nil {
 			continue
 		}
-		if score := score(s.job, zones, offers, n); best == nil || score-bestScore < -1 || score-bestScore < 1 && v.Cost < best.Cost {
-			best, bestScore = v, score
+		if nodeScore := score(s.job, zones, offers, n); best == nil || nodeScore-bestScore < -1 || nodeScore-bestScore < 1 && v.Cost < best.Cost {
+			best, bestScore = v, nodeScore
 		}
 	}
 	return best
