--- a/review/standins2/users.go
+++ b/review/standins2/users.go
@@ -112,11 +112,27 @@
 	if s.Status == "done" && w.check.doneCount(j.ID) < j.Legs {
 		w.violate("not_done", "%s is called done with %d of %d tasks done", j.ID, w.check.doneCount(j.ID), j.Legs)
 	}
+	if (s.Status == "queued" || s.Status == "running") && w.cancelledBefore(j, w.site.cancel+3*time.Second) && !j.flag("orphaned") {
+		w.violate("orphaned", "%s is called %s", j.ID, s.Status)
+	}
 	if s.Status == "aborted" && asked.IsZero() && !w.upstreamCancelled(j) {
 		w.violate("went_back", "%s is called cancelled, and nobody cancelled it", j.ID)
 	}
 }
 
+// cancelledBefore reports whether the user of a job that j needs was told longer ago than d that it is
+// cancelled.
+func (w *world) cancelledBefore(j *job, d time.Duration) bool {
+	for _, p := range j.Awaits {
+		if x := w.job(p); x != nil {
+			if told := x.cancelTold(); !told.IsZero() && time.Since(told) > d || w.cancelledBefore(x, d) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (w *world) upstreamCancelled(j *job) bool {
 	for _, p := range j.Awaits {
 		d := w.job(p)
