--- a/review/standins2/case_full_record.go
+++ b/review/standins2/case_full_record.go
@@ -10,6 +10,9 @@
 	service := w.newJob(func(j *job) {
 		j.Lane, j.Crew, j.Shape, j.Rank, j.ExpectS = "turn-service", "mapcraft", "service", "prod", 0
 		j.Legs, j.Cores, j.MemoryGb, j.SizeGb, j.Yard = 460, 0.1, 0.1, 0.7, &ruwi
+		if w.site.nextValueKB > 0 {
+			j.Legs, j.Cores, j.MemoryGb = 115, 0.5, 0.5
+		}
 	})
 	array := w.newJob(func(j *job) {
 		j.Lane, j.Crew, j.Rank, j.Legs, j.Cores, j.MemoryGb, j.Yard = "reroute-batch", "dispatch", "normal", 2, 0.1, 0.1, &ruwi
--- a/review/standins2/hunt.go
+++ b/review/standins2/hunt.go
@@ -37,6 +37,12 @@
 			time.Sleep(secs(w.uniform(0.2, 1.6)))
 		}
 	}()
+	if w.site.nextValueKB > 0 {
+		go func() {
+			time.Sleep(secs(w.uniform(10, d.Seconds()*0.8)))
+			w.state.lowerLimits(w.site)
+		}()
+	}
 	if trouble {
 		for i := 0; i < 3; i++ {
 			go func() {
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -26,10 +26,11 @@
 	tight := flag.Bool("tight", false, "low limits, for hunts only")
 	flag.Parse()
 	rng = rand.New(rand.NewPCG(*seed, 7))
-	site := sahil()
-	if *siteName == "gebeya-addis" {
-		site = gebeya()
+	makeSite := sites[*siteName]
+	if makeSite == nil {
+		fatal("no site %q", *siteName)
 	}
+	site := makeSite()
 	if *scale != 1 {
 		for _, d := range []*time.Duration{&site.report, &site.lease, &site.cancel, &site.listLag} {
 			*d = time.Duration(float64(*d) * *scale)
@@ -72,6 +73,8 @@
 	fmt.Println("the rules held;", w.check.starts, "starts,", len(w.order), "jobs")
 }
 
+var sites = map[string]func() siteSettings{"sahil-muscat": sahil, "gebeya-addis": gebeya, "sahil-muscat-next": sahilNext, "gebeya-addis-next": gebeyaNext}
+
 var cases = map[string]func(w *world, trouble bool, d time.Duration){"hunt": hunt, "many": many, "full-record": fullRecord, "mistakes": mistakes}
 
 // begin starts all controllers and waits until they serve.
--- a/review/standins2/state.go
+++ b/review/standins2/state.go
@@ -399,6 +399,13 @@
 	reply(w, 200, map[string]uint64{"epoch": st.epoch})
 }
 
+// lowerLimits puts the limits of state.next in force.
+func (st *stateService) lowerLimits(s siteSettings) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.valueBytes, st.txnOps, st.writeRPS = int(s.nextValueKB*1024), s.nextTxnOps, s.nextWriteRPS
+}
+
 // read returns the value of a key, for the record and to find the holders of roles.
 func (st *stateService) read(key string) string {
 	st.mu.Lock()
--- a/review/standins2/world.go
+++ b/review/standins2/world.go
@@ -35,6 +35,9 @@
 	listLag                time.Duration
 	cpu, memoryMB          float64
 	fdLimit                int
+	nextValueKB            float64 // of state.next; 0: there is none
+	nextTxnOps             int
+	nextWriteRPS           float64
 }
 
 func sahil() siteSettings {
@@ -61,6 +64,24 @@
 	return s
 }
 
+// sahilNext has the limits of the state service to come, the teams and the report interval of the page on
+// pipelines.
+func sahilNext() siteSettings {
+	s := sahil()
+	s.report = 5 * time.Second
+	s.teamMax = map[string]float64{"dispatch": 1500, "mapcraft": 3500, "probes": 700, "fleet-ops": 1500, "platform": 900}
+	s.teamGuarantee = map[string]float64{"dispatch": 600, "mapcraft": 600, "probes": 400, "fleet-ops": 500, "platform": 400}
+	s.nextValueKB, s.nextTxnOps, s.nextWriteRPS = 2, 8, 35
+	return s
+}
+
+func gebeyaNext() siteSettings {
+	s := gebeya()
+	s.report = 8 * time.Second
+	s.nextValueKB, s.nextTxnOps, s.nextWriteRPS = 2, 4, 15
+	return s
+}
+
 func gebeya() siteSettings {
 	s := siteSettings{
 		zones: []string{"kality", "bole", "piassa"}, nodeZones: []string{"kality", "bole", "piassa"},
@@ -214,6 +235,9 @@
 	p("[[params.objectives]]\nkind = \"wait\"\nclass = \"turn-service\"\nwithin_s = 1.0\nshare = 0.93\n")
 	p("[params.workers]\nreport_s = %.1f\nlease_s = %.1f\ngang_wait_s = 30.0\ngang_peer_s = 4.0\ncancel_s = %.1f\n", s.report.Seconds(), s.lease.Seconds(), s.cancel.Seconds())
 	p("[params.state]\nrps = %.1f\nwrite_rps = %.1f\nvalue_kb = %.1f\ntxn_ops = %d\n", s.rps, s.writeRPS, s.valueKB, s.txnOps)
+	if s.nextValueKB > 0 {
+		p("[params.state.next]\nrps = %.1f\nwrite_rps = %.1f\nvalue_kb = %.1f\ntxn_ops = %d\n", s.rps, s.nextWriteRPS, s.nextValueKB, s.nextTxnOps)
+	}
 	p("[params.cloud]\nrps = %.1f\nlist_lag_s = %.1f\n", s.cloudRPS, s.listLag.Seconds())
 	p("[params.resources]\ncpu = %.3f\nmemory_mb = %.1f\nfd_limit = %d", s.cpu, s.memoryMB, s.fdLimit)
 	n.settings = filepath.Join(w.dir, n.name+".toml")
