--- a/review/standins2/case_mistakes.go
+++ b/review/standins2/case_mistakes.go
@@ -53,3 +53,20 @@
 	}
 	w.lateDone()
 }
+
+// lateDone reports jobs whose last task has completed at least 20 s ago and that are not called done:
+// the page allows 3 s. Cancelled jobs don't count.
+func (w *world) lateDone() {
+	w.mu.Lock()
+	list := append([]*job(nil), w.order...)
+	w.mu.Unlock()
+	for _, j := range list {
+		w.check.mu.Lock()
+		at := w.check.doneAt[j.ID]
+		w.check.mu.Unlock()
+		w.rec("case: %s (%s, %d tasks of %.1f cores): %d completed, %d on machines, last told %q", j.ID, j.Shape, j.Legs, j.Cores, w.check.doneCount(j.ID), w.check.onCount(j.ID, j.Legs), j.finalState())
+		if !at.IsZero() && time.Since(at) > 20*time.Second && j.finalState() == "" {
+			w.violate("done_after_3s", "all %d tasks of %s completed %.1f s ago, and its user is not told done", j.Legs, j.ID, time.Since(at).Seconds())
+		}
+	}
+}
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"os"
 	"os/signal"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -60,6 +59,9 @@
 	if f == nil {
 		fatal("no case %q", *scenario)
 	}
+	if *scenario != "hunt" {
+		time.AfterFunc(117*time.Second, func() { fatal("it takes too long") })
+	}
 	f(w, trouble, time.Duration(*secs*float64(time.Second)))
 	w.shutdown()
 	w.mu.Lock()
@@ -75,7 +77,7 @@
 
 var sites = map[string]func() siteSettings{"sahil-muscat": sahil, "gebeya-addis": gebeya, "sahil-muscat-next": sahilNext, "gebeya-addis-next": gebeyaNext}
 
-var cases = map[string]func(w *world, trouble bool, d time.Duration){"hunt": hunt, "many": many, "full-record": fullRecord, "mistakes": mistakes}
+var cases = map[string]func(w *world, trouble bool, d time.Duration){"hunt": hunt, "mistakes": mistakes}
 
 // begin starts all controllers and waits until they serve.
 func (w *world) begin() {
@@ -96,34 +98,3 @@
 		fatal("the controllers do not serve")
 	}
 }
-
-// many submits one job with many small tasks.
-func many(w *world, trouble bool, d time.Duration) {
-	w.begin()
-	w.fetchTime = 200 * time.Millisecond
-	j := w.newJob(func(j *job) {
-		j.Cores, j.MemoryGb, j.Legs, j.run, j.ExpectS = manyCores, manyCores, manyLegs, secs(manyRun), manyRun
-		j.Loaners = true
-	})
-	w.submit(j)
-	go w.follow(j)
-	for i := 0; i < int(d.Seconds()); i++ {
-		time.Sleep(time.Second)
-		fmt.Println(i, "done", w.check.doneCount(j.ID), "starts", w.check.starts, "machines", len(w.cloud.workers()), "max report", maxReport.Load(), "max answer", maxAnswer.Load())
-		if j.finalState() != "" {
-			break
-		}
-	}
-}
-
-var (
-	maxReport, maxAnswer atomic.Int64
-	manyCores, manyRun   float64
-	manyLegs             int
-)
-
-func init() {
-	flag.Float64Var(&manyCores, "cores", 0.1, "cores of a task")
-	flag.Float64Var(&manyRun, "run", 2, "seconds of a task")
-	flag.IntVar(&manyLegs, "legs", 20000, "tasks")
-}
--- a/review/standins2/worker.go
+++ b/review/standins2/worker.go
@@ -289,7 +289,6 @@
 				k.leaseAt = sent
 				k.execute(in.Baton, in.Orders)
 			}
-			maxAnswer.Store(max(maxAnswer.Load(), int64(len(body))))
 			if len(body) > 64*1024 {
 				k.w.violate("line", "a response to worker %s has %d bytes", k.id, len(body))
 			}
@@ -325,7 +324,6 @@
 // post sends a report and returns the status of the answer, 0 if there is none in 4 s.
 func (k *worker) post(client *http.Client, n *node2, rep report) (int, []byte) {
 	raw, _ := json.Marshal(rep)
-	maxReport.Store(max(maxReport.Load(), int64(len(raw))))
 	k.out.mu.Lock()
 	mode := k.out.mode
 	k.out.mu.Unlock()
--- a/review/standins2/world.go
+++ b/review/standins2/world.go
@@ -142,7 +142,6 @@
 	fails, oks               int
 	pauseUntil               time.Time
 	pause                    time.Duration
-	exits                    int
 	expectExit               bool
 }
 
